--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of real processes, benchmarks, slopes and the demonstration."""
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/fleet/_caller.py
@@ -0,0 +1,133 @@
+"""A caller that asks which entry instance to use."""
+
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+import anyio
+import httpcore
+import uuid6
+
+_TIMEOUT_S: Final = 15.0
+_UNANSWERED: Final = 0
+_OK: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller was told.
+
+    :param status: HTTP status; 0 if the connection failed.
+    :param headers: headers by lower-case name.
+    :param body: bytes of the body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """Outcome that the entry instance told."""
+        return self.headers.get('x-tamarackway-outcome', '')
+
+    @property
+    def request_id(self) -> str:
+        """Identifier for explanations."""
+        return self.headers.get('x-tamarackway-request-id', '')
+
+    def document(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class Caller:
+    """Sends requests to entry instances.
+
+    :param known: addresses of entry instances to ask first.
+    :param host: IP number that connections come from.
+    """
+
+    def __init__(self, known: list[str], host: str = '127.0.0.1') -> None:
+        """Start with the known addresses."""
+        self.known = known
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=None,
+            local_address=host,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+
+    async def ask(self, region: str = '') -> list[str]:
+        """Ask which entry instances to use and remember them."""
+        for address in self.known:
+            query = f'?region={region}' if region else ''
+            reply = await self.send('GET', address, f'/v1/entries{query}')
+            if reply.status == _OK:
+                entries = reply.document()['entries']
+                self.known = [entry['address'] for entry in entries]
+                return self.known
+        return []
+
+    async def look_up(
+        self,
+        service: str,
+        path: str = '',
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send a look-up to the first instance that answers."""
+        reply = Reply(_UNANSWERED, {}, b'')
+        for address in self.known:
+            reply = await self.send(
+                'GET',
+                address,
+                f'/v1/services/{service}/{path}',
+                headers,
+            )
+            if reply.status:
+                break
+        return reply
+
+    async def run_once(
+        self,
+        service: str,
+        body: bytes,
+        key: str = '',
+        address: str = '',
+    ) -> Reply:
+        """Send a once-only request."""
+        return await self.send(
+            'POST',
+            address or self.known[0],
+            f'/v1/services/{service}/',
+            {'idempotency-key': key or str(uuid6.uuid7())},
+            body,
+        )
+
+    async def send(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+    ) -> Reply:
+        """Send any request and return the reply, of status 0 if none came."""
+        try:
+            with anyio.fail_after(_TIMEOUT_S):
+                response = await self._pool.request(
+                    method,
+                    f'http://{address}{path}',
+                    headers=list((headers or {}).items()),
+                    content=body,
+                )
+        except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError):
+            return Reply(_UNANSWERED, {}, b'')
+        named = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in response.headers
+        }
+        return Reply(response.status, named, response.content)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/fleet/_fleet.py
@@ -0,0 +1,327 @@
+"""A fleet of stand-ins and entry instances on loopback."""
+
+import signal
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self
+
+import anyio
+import httpcore
+
+from tamarackway_bench.fleet._caller import Caller
+from tamarackway_bench.fleet._http import fetch
+from tamarackway_bench.fleet._layout import EntryNode, Layout, TargetNode
+from tamarackway_bench.fleet._processes import Processes
+from tamarackway_bench.fleet._settings import TOKEN, render_settings
+from tamarackway_bench.fleet._spec import FleetSpec
+
+_STANDINS: Final = 'tamarackway_standins'
+_DAEMON: Final = 'tamarackway_entry'
+_READY_S: Final = 30.0
+_POLL_S: Final = 0.05
+_OK: Final = 200
+_SHOWN: Final = 2000
+
+
+class FleetError(Exception):
+    """A process did not get ready; see its log in the fleet's folder."""
+
+
+class Fleet:
+    """Starts all processes on entry and ends them on exit.
+
+    :param spec: sizes of the fleet.
+    :param folder: where settings, logs and journals go.
+    :param extra_settings: further sections of the settings files.
+    """
+
+    def __init__(
+        self,
+        spec: FleetSpec,
+        folder: Path,
+        extra_settings: str = '',
+    ) -> None:
+        """Choose addresses."""
+        self.layout = Layout(spec)
+        self.folder = folder
+        self.journal = folder / 'journal.txt'
+        self.token = TOKEN
+        self._extra_settings = extra_settings
+        self._processes = Processes(folder)
+        self._incarnations: dict[str, int] = {}
+
+    async def __aenter__(self) -> Self:
+        """Start all processes and wait until they answer."""
+        try:
+            await self._start()
+        except BaseException:
+            await self._processes.stop_all()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        with anyio.CancelScope(shield=True):
+            await self._processes.stop_all()
+
+    def caller(self, region: str = '') -> Caller:
+        """Return a caller that knows all entry instances.
+
+        :param region: whose instances it knows first.
+        """
+        ordered = sorted(
+            self.layout.entries,
+            key=lambda entry: entry.callers.region != region,
+        )
+        network = ordered[0].callers.host.rsplit('.', 1)[0]
+        return Caller(
+            [entry.callers.relay for entry in ordered],
+            f'{network}.200',
+        )
+
+    def entry(self, name: str) -> EntryNode:
+        """Return an entry instance by name."""
+        for entry in self.layout.entries:
+            if entry.name == name:
+                return entry
+        raise KeyError(name)
+
+    def targets(self, service: str) -> list[TargetNode]:
+        """Return the targets of a service."""
+        return [
+            target
+            for target in self.layout.targets
+            if target.service == service
+        ]
+
+    async def start_entry(self, entry: EntryNode) -> None:
+        """Start an entry instance and list it."""
+        path = self.folder / f'{entry.name}.toml'
+        text = render_settings(self.layout, entry, self._extra_settings)
+        path.write_text(text, encoding='utf-8')
+        self._processes.start(
+            entry.name,
+            _DAEMON,
+            ['run', '--settings', str(path)],
+        )
+        await self._list(
+            'instances',
+            entry.name,
+            {
+                'name': entry.name,
+                'place': {
+                    'region': entry.callers.region,
+                    'failure_domain': entry.callers.failure_domain,
+                },
+                'callers': entry.callers.relay,
+                'peers': entry.peers.relay,
+                'admin': entry.admin.address,
+            },
+        )
+
+    async def start_target(self, target: TargetNode) -> None:
+        """Start a target and list it with a new incarnation."""
+        self._incarnations[target.name] = (
+            self._incarnations.get(target.name, 0) + 1
+        )
+        arguments = {
+            'listen': target.node.address,
+            'name': target.name,
+            'service': target.service,
+            'slots': target.slots,
+            'work-s': target.work_s,
+            'seed': len(self._incarnations),
+            'journal': self.journal,
+        }
+        self._start_standin(target.name, 'target', arguments)
+        await self.list_target(target, 'live')
+
+    async def list_target(self, target: TargetNode, state: str) -> None:
+        """Put a target on the instance list.
+
+        :param target: the target.
+        :param state: state to list it with.
+        """
+        await self._list(
+            'targets',
+            target.name,
+            {
+                'name': target.name,
+                'service': target.service,
+                'place': {
+                    'region': target.node.region,
+                    'failure_domain': target.node.failure_domain,
+                },
+                'address': target.node.relay,
+                'slots': target.slots,
+                'state': state,
+                'incarnation': self._incarnations[target.name],
+            },
+        )
+
+    async def unlist(self, name: str) -> None:
+        """Take a process off the instance list."""
+        address = self.layout.platform['instances'].address
+        await fetch('DELETE', address, f'/v1/instances/{name}')
+
+    async def kill(self, name: str) -> None:
+        """End a process without warning."""
+        await self._processes.kill(name)
+
+    async def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        self._processes.send_signal(name, signal.SIGTERM)
+        return await self._processes.wait(name)
+
+    def pause(self, name: str) -> None:
+        """Freeze a process."""
+        self._processes.send_signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._processes.send_signal(name, signal.SIGCONT)
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process runs."""
+        return self._processes.is_running(name)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._processes.pid(name)
+
+    def read_log(self, name: str) -> str:
+        """Return the output of a process."""
+        path = self._processes.log_path(name)
+        return path.read_text(encoding='utf-8', errors='replace')
+
+    def read_journal(self) -> list[str]:
+        """Return a line ``key target path`` for each run at any target."""
+        if not self.journal.exists():
+            return []
+        return self.journal.read_text(encoding='utf-8').splitlines()
+
+    async def set_faults(self, name: str, **faults: Any) -> None:
+        """Switch faults of a stand-in.
+
+        :param name: ``table``, ``objects``, ``instances`` or a target.
+        :param faults: fields of the stand-in's faults.
+        """
+        node = self.layout.platform.get(name)
+        if node is None:
+            node = next(
+                target.node
+                for target in self.layout.targets
+                if target.name == name
+            )
+        await fetch('PUT', node.address, '/faults', faults)
+
+    async def cut(self, pairs: list[tuple[str, str]]) -> None:
+        """Cut places or regions apart; an empty list heals all cuts."""
+        await fetch('PUT', self.layout.links, '/topology', {'cuts': pairs})
+
+    async def silence(self, relays: list[str]) -> int:
+        """Let the open connections to some addresses go silent."""
+        reply = await fetch('POST', self.layout.links, '/silence', relays)
+        count: int = reply['connections']
+        return count
+
+    async def wait_ready(self, names: list[str] | None = None) -> None:
+        """Wait until entry instances are ready.
+
+        :param names: which ones, or None for all.
+        """
+        for entry in self.layout.entries:
+            if names is None or entry.name in names:
+                address = entry.callers.address
+                await self._wait_ok(entry.name, address, '/readyz')
+
+    async def _start(self) -> None:
+        for name, node in self.layout.platform.items():
+            arguments: dict[str, Any] = {'listen': node.address}
+            self._start_standin(name, name, arguments)
+        listen = {'listen': self.layout.links}
+        self._start_standin('links', 'links', listen)
+        for name, node in self.layout.platform.items():
+            await self._wait_ok(name, node.address, '/faults')
+        await self._wait_ok('links', self.layout.links, '/relays')
+        await self._start_links()
+        async with anyio.create_task_group() as group:
+            for target in self.layout.targets:
+                group.start_soon(self.start_target, target)
+            for entry in self.layout.entries:
+                group.start_soon(self.start_entry, entry)
+        for target in self.layout.targets:
+            await self._wait_ok(target.name, target.node.address, '/health')
+        for entry in self.layout.entries:
+            await self._wait_ok(entry.name, entry.callers.address, '/livez')
+
+    async def _start_links(self) -> None:
+        spec = self.layout.spec
+        await fetch(
+            'PUT',
+            self.layout.links,
+            '/topology',
+            {
+                'places': self.layout.list_networks(),
+                'domain_ms': spec.domain_ms,
+                'region_ms': spec.region_ms,
+            },
+        )
+        relays = [
+            {
+                'listen': node.relay,
+                'forward': node.address,
+                'place': node.place,
+            }
+            for node in self.layout.list_nodes()
+        ]
+        await fetch('PUT', self.layout.links, '/relays', relays)
+
+    def _start_standin(
+        self,
+        name: str,
+        kind: str,
+        arguments: dict[str, Any],
+    ) -> None:
+        options = [
+            text
+            for option, setting in arguments.items()
+            for text in (f'--{option}', str(setting))
+        ]
+        self._processes.start(name, _STANDINS, [kind, *options])
+
+    async def _list(
+        self,
+        kind: str,
+        name: str,
+        about: dict[str, Any],
+    ) -> None:
+        address = self.layout.platform['instances'].address
+        document = {'kind': kind, 'about': about}
+        await fetch('PUT', address, f'/v1/instances/{name}', document)
+
+    async def _wait_ok(self, name: str, address: str, path: str) -> None:
+        with anyio.move_on_after(_READY_S):
+            while not await _answers(address, path):
+                if not self._processes.is_running(name):
+                    break
+                await anyio.sleep(_POLL_S)
+            else:
+                return
+        log = self._processes.log_path(name).read_text(errors='replace')
+        raise FleetError(f'{name} is not ready:\n{log[-_SHOWN:]}')
+
+
+async def _answers(address: str, path: str) -> bool:
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f'http://{address}{path}'
+            response = await pool.request('GET', url)
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return False
+    return response.status in {_OK, 405}
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/fleet/_layout.py
@@ -0,0 +1,160 @@
+"""Addresses and places of the processes of a fleet."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from tamarackway_bench.fleet._processes import FreePorts
+from tamarackway_bench.fleet._spec import FleetSpec
+
+DOMAINS: Final = ('a', 'b')
+_FIRST_TARGET_HOST: Final = 100
+_PLATFORM_HOST: Final = '127.1.1.250'
+_RELAY_HOST: Final = '127.9.0.1'
+PLATFORM: Final = ('table', 'objects', 'instances')
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A process that others connect to.
+
+    :param name: name of the process.
+    :param region: region of the process.
+    :param failure_domain: failure domain of the process.
+    :param host: IP number of the process.
+    :param port: port of its main interface.
+    :param relay: address that others reach it by.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    host: str
+    port: int
+    relay: str
+
+    @property
+    def address(self) -> str:
+        """Address that the process listens on."""
+        return f'{self.host}:{self.port}'
+
+    @property
+    def place(self) -> str:
+        """Region and failure domain as one text."""
+        return f'{self.region}/{self.failure_domain}'
+
+
+@dataclass(frozen=True, slots=True)
+class EntryNode:
+    """An entry instance with its three interfaces."""
+
+    callers: Node
+    peers: Node
+    admin: Node
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.callers.name
+
+
+@dataclass(frozen=True, slots=True)
+class TargetNode:
+    """A target."""
+
+    node: Node
+    service: str
+    slots: int
+    work_s: float
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.node.name
+
+
+class Layout:
+    """Places the processes of a fleet round robin.
+
+    :param spec: sizes of the fleet.
+    """
+
+    def __init__(self, spec: FleetSpec) -> None:
+        """Choose names, places and free ports."""
+        self.spec = spec
+        self._ports = FreePorts()
+        self.entries = [
+            self._place_entry(index) for index in range(spec.entries)
+        ]
+        counted = [
+            (service, index)
+            for service in spec.services
+            for index in range(service.targets)
+        ]
+        self.targets = [
+            TargetNode(
+                self._place(
+                    f'{service.name}-{index + 1}',
+                    index,
+                    _FIRST_TARGET_HOST + number // 6,
+                ),
+                service.name,
+                service.slots,
+                service.work_s,
+            )
+            for number, (service, index) in enumerate(counted)
+        ]
+        self.platform = {
+            name: Node(
+                name,
+                spec.regions[0],
+                DOMAINS[0],
+                _PLATFORM_HOST,
+                self._ports.find(_PLATFORM_HOST),
+                self._find_relay(),
+            )
+            for name in PLATFORM
+        }
+        self.links = f'{_RELAY_HOST}:{self._ports.find(_RELAY_HOST)}'
+
+    def list_nodes(self) -> list[Node]:
+        """Return all nodes that are reached through relays."""
+        nodes = list(self.platform.values())
+        nodes.extend(target.node for target in self.targets)
+        for entry in self.entries:
+            nodes.extend((entry.callers, entry.peers))
+        return nodes
+
+    def list_networks(self) -> dict[str, str]:
+        """Return the place of each network."""
+        return {
+            f'127.{number}.{position}.0/24': f'{region}/{domain}'
+            for number, region in enumerate(self.spec.regions, 1)
+            for position, domain in enumerate(DOMAINS, 1)
+        }
+
+    def _place_entry(self, index: int) -> EntryNode:
+        region = self.spec.regions[index % len(self.spec.regions)]
+        number = index // len(self.spec.regions) + 1
+        name = f'{region.lower().replace("á", "a")}-{number}'
+        host = index // (len(self.spec.regions) * len(DOMAINS)) + 1
+        callers, peers, admin = (
+            self._place(name, index, host) for _ in range(3)
+        )
+        return EntryNode(callers, peers, admin)
+
+    def _place(self, name: str, index: int, host_number: int) -> Node:
+        regions = self.spec.regions
+        region = index % len(regions)
+        domain = index // len(regions) % len(DOMAINS)
+        host = f'127.{region + 1}.{domain + 1}.{host_number}'
+        return Node(
+            name,
+            regions[region],
+            DOMAINS[domain],
+            host,
+            self._ports.find(host),
+            self._find_relay(),
+        )
+
+    def _find_relay(self) -> str:
+        return f'{_RELAY_HOST}:{self._ports.find(_RELAY_HOST)}'
--- /dev/null
+++ b/packages/core/src/tamarackway_core/limits/__init__.py
@@ -0,0 +1,9 @@
+"""Shares of caps that entry instances lease."""
+
+from tamarackway_core.limits._bucket import ShareBucket as ShareBucket
+from tamarackway_core.limits._shares import LEASE_S as LEASE_S
+from tamarackway_core.limits._shares import Lease as Lease
+from tamarackway_core.limits._shares import LeaseObserver as LeaseObserver
+from tamarackway_core.limits._shares import LeaseTable as LeaseTable
+from tamarackway_core.limits._shares import floor_share as floor_share
+from tamarackway_core.limits._shares import grant as grant
--- /dev/null
+++ b/packages/core/src/tamarackway_core/membership/__init__.py
@@ -0,0 +1,9 @@
+"""Which entry instances are alive, and which of them callers should use."""
+
+from tamarackway_core.membership._advice import (
+    EntryAdvice as EntryAdvice,
+)
+from tamarackway_core.membership._advice import rank_entries as rank_entries
+from tamarackway_core.membership._rendezvous import elect as elect
+from tamarackway_core.membership._view import Member as Member
+from tamarackway_core.membership._view import MembershipView as MembershipView
--- /dev/null
+++ b/packages/core/src/tamarackway_core/membership/_advice.py
@@ -0,0 +1,56 @@
+"""Which entry instances a caller should use."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from tamarackway_core.membership._view import Member
+from tamarackway_core.places import Place, State
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAdvice:
+    """One entry instance that a caller may use.
+
+    :param instance: name of the instance.
+    :param address: address for requests.
+    :param region: region of the instance.
+    :param failure_domain: failure domain of the instance.
+    """
+
+    instance: str
+    address: str
+    region: str
+    failure_domain: str
+
+
+def rank_entries(
+    members: Iterable[Member],
+    home: Place,
+    distances_s: Mapping[str, float],
+) -> list[EntryAdvice]:
+    """Return the live entry instances, the best for a caller first.
+
+    :param members: entry instances in any state.
+    :param home: place of the caller.
+    :param distances_s: one-way delays from home in seconds by region.
+
+    The nearest region comes first; within a region the least busy instance.
+    """
+    live = [member for member in members if member.state == State.LIVE]
+    live.sort(
+        key=lambda member: (
+            member.instance.place.region != home.region,
+            distances_s.get(member.instance.place.region, float('inf')),
+            member.requests_per_s,
+            member.instance.name,
+        ),
+    )
+    return [
+        EntryAdvice(
+            member.instance.name,
+            member.instance.callers,
+            member.instance.place.region,
+            member.instance.place.failure_domain,
+        )
+        for member in live
+    ]
--- /dev/null
+++ b/packages/core/src/tamarackway_core/quarantine/__init__.py
@@ -0,0 +1,5 @@
+"""Requests that targets die of."""
+
+from tamarackway_core.quarantine._register import (
+    QuarantineRegister as QuarantineRegister,
+)
--- /dev/null
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -0,0 +1,65 @@
+"""Tests of the codec between entry instances."""
+
+import cbor2
+import pytest
+
+from tamarackway_core.errors import Reason, Refusal, WireError
+from tamarackway_core.membership import Member
+from tamarackway_core.once import Answer, Outcome, RunResult
+from tamarackway_core.places import Instance, Place, State
+from tamarackway_core.sheet import AcceptedPlan
+from tamarackway_core.wire import (
+    Envelope,
+    ExplainReply,
+    Heartbeat,
+    JoinReply,
+    LossReport,
+    Message,
+    Ok,
+    PlanPush,
+    PlanReply,
+    decode,
+    encode,
+)
+
+INSTANCE = Instance('e1', Place('North', 'a'), 'a:1', 'b:2', 'c:3')
+PLAN = AcceptedPlan(3, 'd', 'ann', 1.5, 'row\n')
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        Heartbeat(Member(INSTANCE, 'i', State.LEAVING, 3, 1.5, {'s': 2})),
+        PlanPush(PLAN, {'s/North': 0.5}),
+        PlanReply(None),
+        PlanReply(PlanPush(PLAN, {})),
+        JoinReply(RunResult(Outcome.RAN, Answer(200, 'text/x', b'\x00\xff'))),
+        JoinReply(
+            RunResult(Outcome.NOT_RUN, refusal=Refusal(Reason.DEADLINE)),
+        ),
+        LossReport('f', 't1', 2),
+        ExplainReply(('one', 'two')),
+        Ok(),
+    ],
+)
+def test_messages_survive_the_wire(message: Message) -> None:
+    assert decode(encode(Envelope(7, message))) == Envelope(7, message)
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        b'',
+        b'\xff\xff',
+        b'\x9f' * 5000,
+        cbor2.dumps('text'),
+        cbor2.dumps([1, 'Heartbeat']),
+        cbor2.dumps([1, 'Unknown', {}]),
+        cbor2.dumps(['1', 'Ok', {}]),
+        cbor2.dumps([1, 'LossReport', {'fingerprint': 3}]),
+        cbor2.dumps([1, 'JoinReply', {'run': {'outcome': 'maybe'}}]),
+    ],
+)
+def test_garbage_is_a_typed_error(frame: bytes) -> None:
+    with pytest.raises(WireError):
+        decode(frame)
--- /dev/null
+++ b/packages/ctl/src/tamarackway_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""tamarackctl, the command line of operators."""
--- /dev/null
+++ b/packages/ctl/src/tamarackway_ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as a module."""
+
+from tamarackway_ctl.command import main
+
+main()
--- /dev/null
+++ b/packages/ctl/src/tamarackway_ctl/tables/__init__.py
@@ -0,0 +1,3 @@
+"""Tables for people."""
+
+from tamarackway_ctl.tables._tables import print_table as print_table
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/__init__.py
@@ -0,0 +1,1 @@
+"""tamarackd, the daemon that runs on each entry instance."""
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as a module."""
+
+from tamarackway_entry.command import main
+
+main()
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/admin/_service.py
@@ -0,0 +1,35 @@
+"""Listens for operators."""
+
+from typing import Any, Final
+
+from tamarackway_core.places import Address
+
+from tamarackway_entry.http import HttpServer
+from tamarackway_entry.lifecycle import Lifecycle
+
+_MAX_CONNECTIONS: Final = 100
+
+
+class AdminService:
+    """Runs the HTTP server for operators.
+
+    :param app: the application.
+    :param address: address to listen on.
+    :param lifecycle: stops the server when the instance leaves.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        address: Address,
+        lifecycle: Lifecycle,
+    ) -> None:
+        """Configure the server."""
+        self._lifecycle = lifecycle
+        self._server = HttpServer(app, address, _MAX_CONNECTIONS)
+        lifecycle.on_stop(self._server.stop_accepting)
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        with self._lifecycle.count_server():
+            await self._server.serve()
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/assembly/_build.py
@@ -0,0 +1,36 @@
+"""Order in which the parts are built."""
+
+import uuid6
+from tamarackway_core.places import parse_address
+
+from tamarackway_entry.assembly._base import (
+    build_platform,
+    build_telemetry,
+)
+from tamarackway_entry.assembly._interfaces import build_interfaces
+from tamarackway_entry.assembly._requests import build_requests
+from tamarackway_entry.assembly._steering import build_steering
+from tamarackway_entry.kernel import Kernel, SystemClock
+from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.settings import Settings
+
+
+def build_kernel(settings: Settings) -> Kernel:
+    """Return a kernel with all parts of the daemon.
+
+    :param settings: settings of the daemon.
+    """
+    kernel = Kernel()
+    kernel.register('settings', settings)
+    kernel.register('clock', SystemClock())
+    kernel.register('incarnation', str(uuid6.uuid7()))
+    clock = kernel.find('clock', SystemClock)
+    kernel.register('lifecycle', Lifecycle(clock))
+    for address in (settings.instance.callers, settings.instance.peers):
+        parse_address(address)
+    build_telemetry(kernel)
+    build_platform(kernel)
+    build_steering(kernel)
+    build_requests(kernel)
+    build_interfaces(kernel)
+    return kernel
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/assembly/_requests.py
@@ -0,0 +1,85 @@
+"""Builds what runs requests: look-ups and once-only requests."""
+
+from tamarackway_core.once import ClaimLedger
+
+from tamarackway_entry.kernel import Kernel, SystemClock
+from tamarackway_entry.lookups import LookupRunner
+from tamarackway_entry.once import (
+    ClaimBatcher,
+    Claimer,
+    JoinService,
+    OnceRunner,
+    OutcomeRecorder,
+    RunWatch,
+    SweepService,
+)
+from tamarackway_entry.peers import PeerService
+from tamarackway_entry.platform import ObjectStore, TableService
+from tamarackway_entry.routes import RouteService
+from tamarackway_entry.settings import Settings
+from tamarackway_entry.targets import Dispatcher
+from tamarackway_entry.telemetry import Metrics, Tracing
+
+
+def build_requests(kernel: Kernel) -> None:
+    """Register the parts that run requests.
+
+    :param kernel: the kernel.
+    """
+    kernel.register(
+        'lookups',
+        LookupRunner(
+            kernel.find('routes', RouteService),
+            kernel.find('dispatcher', Dispatcher),
+            kernel.find('tracing', Tracing),
+            kernel.find('clock', SystemClock),
+            kernel.find('metrics', Metrics),
+        ),
+    )
+    _build_claims(kernel)
+    kernel.register('once', _build_once(kernel))
+
+
+def _build_claims(kernel: Kernel) -> None:
+    settings = kernel.find('settings', Settings)
+    table = kernel.find('table', TableService)
+    objects = kernel.find('objects', ObjectStore)
+    peers = kernel.find('peers', PeerService)
+    clock = kernel.find('clock', SystemClock)
+    incarnation = kernel.find('incarnation', str)
+    ledger = ClaimLedger()
+    watch = RunWatch()
+    batcher = ClaimBatcher(table)
+    joins = JoinService(ledger, watch, peers, incarnation, clock)
+    claimer = Claimer(
+        instance=settings.instance.name,
+        incarnation=incarnation,
+        ledger=ledger,
+        batcher=batcher,
+        joins=joins,
+        objects=objects,
+        metrics=kernel.find('metrics', Metrics),
+    )
+    sweep = SweepService(table, peers, settings.instance.name, clock)
+    kernel.register('ledger', ledger)
+    kernel.register('watch', watch)
+    kernel.register('batcher', batcher)
+    kernel.register('joins', joins)
+    kernel.register('claimer', claimer)
+    kernel.register('recorder', OutcomeRecorder(batcher, objects))
+    kernel.register('sweep', sweep)
+
+
+def _build_once(kernel: Kernel) -> OnceRunner:
+    return OnceRunner(
+        ledger=kernel.find('ledger', ClaimLedger),
+        watch=kernel.find('watch', RunWatch),
+        claims=kernel.find('claimer', Claimer),
+        recorder=kernel.find('recorder', OutcomeRecorder),
+        joins=kernel.find('joins', JoinService),
+        routes=kernel.find('routes', RouteService),
+        dispatcher=kernel.find('dispatcher', Dispatcher),
+        tracing=kernel.find('tracing', Tracing),
+        clock=kernel.find('clock', SystemClock),
+        metrics=kernel.find('metrics', Metrics),
+    )
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/assembly/_self_view.py
@@ -0,0 +1,57 @@
+"""How this instance describes itself to peers and callers."""
+
+from tamarackway_core.membership import Member
+from tamarackway_core.places import Instance, Place
+
+from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.plans import CurrentPlan
+from tamarackway_entry.routes import RouteService
+from tamarackway_entry.settings import InstanceSettings
+from tamarackway_entry.targets import TargetDirectory
+
+
+class SelfDescription:
+    """Describes this instance.
+
+    :param settings: who this instance is.
+    :param incarnation: incarnation of this process.
+    :param lifecycle: whether the instance is leaving.
+    :param current: the plan in force.
+    :param routes: requests in flight.
+    :param directory: targets that are leaving.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        incarnation: str,
+        lifecycle: Lifecycle,
+        current: CurrentPlan,
+        routes: RouteService,
+        directory: TargetDirectory,
+    ) -> None:
+        """Remember the parts."""
+        self._incarnation = incarnation
+        self._lifecycle = lifecycle
+        self._current = current
+        self._routes = routes
+        self._directory = directory
+        self._instance = Instance(
+            settings.name,
+            Place(settings.region, settings.failure_domain),
+            settings.advertised_callers or settings.callers,
+            settings.advertised_peers or settings.peers,
+            settings.admin,
+        )
+
+    def describe(self) -> Member:
+        """Return this instance as peers should see it."""
+        return Member(
+            self._instance,
+            self._incarnation,
+            self._lifecycle.state,
+            self._current.version,
+            self._lifecycle.requests_per_s,
+            self._routes.in_flight(),
+            self._directory.marks,
+        )
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/callers/_advice.py
@@ -0,0 +1,59 @@
+"""Which entry instances callers should use."""
+
+from dataclasses import asdict
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+from tamarackway_core.membership import rank_entries
+from tamarackway_core.places import Place
+
+from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.peers import PeerService, SelfView
+from tamarackway_entry.settings import Settings
+
+_MS_PER_S: Final = 1000
+
+
+class AdviceSource:
+    """Ranks the live entry instances for a caller.
+
+    :param settings: settings of the daemon.
+    :param peers: the other entry instances.
+    :param self_view: describes this instance.
+    :param lifecycle: whether this instance is leaving.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: PeerService,
+        self_view: SelfView,
+        lifecycle: Lifecycle,
+    ) -> None:
+        """Remember the parts."""
+        self.lifetime_s = settings.callers.advice_lifetime_s
+        self._settings = settings
+        self._peers = peers
+        self._self_view = self_view
+        self._lifecycle = lifecycle
+
+    def describe(self, query: bytes) -> dict[str, Any]:
+        """Return the advice as a JSON object.
+
+        :param query: query string; ``region`` names the caller's region.
+        """
+        named = parse_qs(query.decode('latin-1')).get('region', [''])[0]
+        instance = self._settings.instance
+        home = Place(named or instance.region, instance.failure_domain)
+        members = [*self._peers.list_live(), self._self_view.describe()]
+        distances_s = {
+            region: distance_ms / _MS_PER_S
+            for region, distance_ms in (
+                self._settings.routing.distances_ms.items()
+            )
+        }
+        ranked = rank_entries(members, home, distances_s)
+        return {
+            'entries': [asdict(advice) for advice in ranked],
+            'lifetime_s': self.lifetime_s,
+        }
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/callers/_parse.py
@@ -0,0 +1,192 @@
+"""Checks a caller's request and reads it whole."""
+
+import uuid
+from typing import Final
+
+from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.once import digest_request
+from tamarackway_core.sheet import PlanRules, ServiceRule
+
+from tamarackway_entry.callers._answers import Message, Receive
+from tamarackway_entry.decisions import Decision
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.plans import CurrentPlan
+from tamarackway_entry.routes import CallerRequest
+from tamarackway_entry.settings import InstanceSettings
+
+SERVICES_PREFIX: Final = '/v1/services/'
+_DEADLINE_HEADER: Final = 'x-request-deadline-ms'
+_REGION_HEADER: Final = 'x-tamarackway-region'
+_MS_PER_S: Final = 1000
+_MAX_NAME_LENGTH: Final = 64
+_DROPPED: Final = frozenset((
+    'host',
+    'connection',
+    'keep-alive',
+    'proxy-authorization',
+    'te',
+    'trailer',
+    'transfer-encoding',
+    'upgrade',
+    'content-length',
+    'expect',
+    'x-request-id',
+    _DEADLINE_HEADER,
+))
+Headers = dict[str, str]
+
+
+class RequestParser:
+    """Turns ASGI messages into checked requests.
+
+    :param instance: who this instance is.
+    :param current: the plan in force.
+    :param max_body_bytes: largest body of a request.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceSettings,
+        current: CurrentPlan,
+        max_body_bytes: int,
+        clock: Clock,
+    ) -> None:
+        """Remember the limits."""
+        self._instance = instance
+        self._current = current
+        self._max_body_bytes = max_body_bytes
+        self._clock = clock
+
+    async def parse(
+        self,
+        scope: Message,
+        receive: Receive,
+    ) -> CallerRequest | Refusal:
+        """Return the request, or why it is refused.
+
+        :param scope: ASGI scope of the request.
+        :param receive: ASGI function.
+        """
+        rules = self._current.rules
+        if rules is None:
+            return Refusal(Reason.NO_PLAN, 'no plan is in force yet', 1)
+        service, _, path = scope['path'][len(SERVICES_PREFIX) :].partition('/')
+        rule = rules.find_service(service)
+        if rule is None:
+            return _unknown_service(service, rules)
+        headers = _read_headers(scope)
+        deadline_s = self._find_deadline_s(headers, rule)
+        if isinstance(deadline_s, Refusal):
+            return deadline_s
+        body = await read_body(headers, receive, self._max_body_bytes)
+        if isinstance(body, Refusal):
+            return body
+        query = scope['query_string'].decode('latin-1')
+        target_path = f'/{path}?{query}' if query else f'/{path}'
+        return self._build(
+            scope['method'],
+            target_path,
+            headers,
+            body,
+            rule,
+            deadline_s,
+        )
+
+    def _build(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        rule: ServiceRule,
+        deadline_s: float,
+    ) -> CallerRequest:
+        request_id = f'{self._instance.name}-{uuid.uuid4()}'
+        home = headers.get(_REGION_HEADER, '')[:_MAX_NAME_LENGTH]
+        decision = Decision(
+            request_id,
+            rule.service,
+            home or self._instance.region,
+            self._current.version,
+            self._clock.time_s(),
+            self._clock.now_s(),
+        )
+        decision.cite(rule.row)
+        return CallerRequest(
+            request_id=request_id,
+            rule=rule,
+            home=home or self._instance.region,
+            method=method,
+            path=path,
+            headers={
+                name: text
+                for name, text in headers.items()
+                if name not in _DROPPED
+            },
+            body=body,
+            deadline_s=deadline_s,
+            digest=digest_request(method, f'{rule.service}{path}', body),
+            decision=decision,
+        )
+
+    def _find_deadline_s(
+        self,
+        headers: Headers,
+        rule: ServiceRule,
+    ) -> float | Refusal:
+        text = headers.get(_DEADLINE_HEADER)
+        allowed_s = rule.deadline_s
+        if text is not None:
+            if not text.isdigit() or not int(text):
+                problem = f'{_DEADLINE_HEADER} must be a number above 0'
+                return Refusal(Reason.MALFORMED, problem)
+            allowed_s = min(allowed_s, int(text) / _MS_PER_S)
+        return self._clock.now_s() + allowed_s
+
+
+async def read_body(
+    headers: Headers,
+    receive: Receive,
+    max_bytes: int,
+) -> bytes | Refusal:
+    """Return the whole body of a request, or why it is refused.
+
+    :param headers: headers by lower-case name.
+    :param receive: ASGI function.
+    :param max_bytes: largest body that is read.
+    """
+    too_large = Refusal(
+        Reason.BODY_TOO_LARGE,
+        f'the body is larger than {max_bytes} bytes',
+    )
+    declared = headers.get('content-length', '0')
+    if not declared.isdigit() or int(declared) > max_bytes:
+        return too_large
+    body = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            return Refusal(Reason.MALFORMED, 'the body broke off')
+        body += message.get('body', b'')
+        if len(body) > max_bytes:
+            return too_large
+        more = message.get('more_body', False)
+    return bytes(body)
+
+
+def _read_headers(scope: Message) -> Headers:
+    return {
+        name.decode('latin-1'): text.decode('latin-1')
+        for name, text in scope['headers']
+    }
+
+
+def _unknown_service(service: str, rules: PlanRules) -> Refusal:
+    shown = service[:_MAX_NAME_LENGTH]
+    declared = ', '.join(rules.services)
+    return Refusal(
+        Reason.UNKNOWN_SERVICE,
+        f'service {shown!r} is not declared; declared are {declared}',
+    )
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/decisions/_log.py
@@ -0,0 +1,85 @@
+"""Keeps the decisions on recent requests."""
+
+import datetime as dt
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from tamarackway_core.sheet import PlanRow
+
+_MAX_STEPS = 64
+_MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class Decision:
+    """Collects the steps of one request while it is served.
+
+    :param request_id: identifier of the request.
+    :param service: service of the request.
+    :param home: region that the request came from.
+    :param plan_version: version of the plan that it was served by.
+    :param time_s: seconds since the epoch at its receipt.
+    :param received_s: monotonic time of its receipt.
+    """
+
+    request_id: str
+    service: str
+    home: str
+    plan_version: int
+    time_s: float
+    received_s: float
+    steps: list[tuple[float, str]] = field(default_factory=list)
+    rows: list[PlanRow] = field(default_factory=list)
+
+    def note(self, now_s: float, text: str) -> None:
+        """Add a step.
+
+        :param now_s: monotonic time in seconds.
+        :param text: what was decided, in words that a manager understands.
+        """
+        if len(self.steps) < _MAX_STEPS:
+            self.steps.append((now_s - self.received_s, text))
+
+    def cite(self, row: PlanRow) -> None:
+        """Add a sheet row that the decision rests on."""
+        if row not in self.rows:
+            self.rows.append(row)
+
+    def describe(self) -> tuple[str, ...]:
+        """Return the decision as lines of text."""
+        moment = dt.datetime.fromtimestamp(self.time_s, dt.UTC)
+        stamp = moment.isoformat(timespec='milliseconds')
+        received = f'received {stamp} from region {self.home}'
+        lines = [
+            f'request {self.request_id} for {self.service}',
+            f'{received}, under plan version {self.plan_version}',
+        ]
+        lines.extend(
+            f'after {offset_s * _MS_PER_S:.1f} ms: {text}'
+            for offset_s, text in self.steps
+        )
+        lines.append('sheet rows behind this:')
+        lines.extend(f'  {row.describe()}' for row in self.rows)
+        return tuple(lines)
+
+
+class DecisionLog:
+    """The decisions on the most recent requests.
+
+    :param max_decisions: requests that are remembered.
+    """
+
+    def __init__(self, max_decisions: int) -> None:
+        """Start without decisions."""
+        self._max_decisions = max_decisions
+        self._decisions: OrderedDict[str, Decision] = OrderedDict()
+
+    def add(self, decision: Decision) -> None:
+        """Remember a decision, and forget the oldest if need be."""
+        self._decisions[decision.request_id] = decision
+        while len(self._decisions) > self._max_decisions:
+            self._decisions.popitem(last=False)
+
+    def find(self, request_id: str) -> Decision | None:
+        """Return the decision on a request, or None."""
+        return self._decisions.get(request_id)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/http/_server.py
@@ -0,0 +1,52 @@
+"""uvicorn server that leaves signals and logs to the daemon."""
+
+from collections.abc import Generator
+from contextlib import contextmanager
+from typing import Any, Final
+
+import uvicorn
+from tamarackway_core.places import Address
+
+_KEEP_ALIVE_S: Final = 5
+
+
+class HttpServer(uvicorn.Server):
+    """Serves one ASGI application on one address.
+
+    :param app: the application.
+    :param address: address to listen on.
+    :param max_connections: requests and connections that may be open at once.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        address: Address,
+        max_connections: int,
+    ) -> None:
+        """Configure uvicorn."""
+        super().__init__(
+            uvicorn.Config(
+                app,
+                host=address.host,
+                port=address.port,
+                loop='asyncio',
+                http='httptools',
+                ws='none',
+                lifespan='off',
+                access_log=False,
+                log_config=None,
+                server_header=False,
+                limit_concurrency=max_connections,
+                timeout_keep_alive=_KEEP_ALIVE_S,
+            ),
+        )
+
+    @contextmanager
+    def capture_signals(self) -> Generator[None]:
+        """Leave the signals to the daemon."""
+        yield
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and end once nothing is in flight."""
+        self.should_exit = True
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/kernel/__init__.py
@@ -0,0 +1,6 @@
+"""The micro-kernel: services that find each other by name."""
+
+from tamarackway_entry.kernel._clock import Clock as Clock
+from tamarackway_entry.kernel._clock import SystemClock as SystemClock
+from tamarackway_entry.kernel._kernel import Kernel as Kernel
+from tamarackway_entry.kernel._kernel import Service as Service
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/lookups/_runner.py
@@ -0,0 +1,203 @@
+"""Runs a look-up with a hedge and retries within one budget."""
+
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.once import Answer, Outcome, RunResult
+from tamarackway_core.routing import Choice, Verdict
+
+from tamarackway_entry.http import (
+    HttpAnswer,
+    HttpError,
+    LostError,
+    NotSentError,
+)
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.routes import CallerRequest, RouteService
+from tamarackway_entry.targets import Dispatcher, ShedError
+from tamarackway_entry.telemetry import Metrics, Tracing
+
+_MAX_ATTEMPTS: Final = 4
+_MIN_HEDGE_DELAY_S: Final = 0.002
+
+
+class LookupRunner:
+    """Runs look-ups.
+
+    :param routes: chooses targets.
+    :param dispatcher: sends requests to targets.
+    :param tracing: starts a span for each attempt.
+    :param clock: clocks of the daemon.
+    :param metrics: metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        routes: RouteService,
+        dispatcher: Dispatcher,
+        tracing: Tracing,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Remember the parts."""
+        self.routes = routes
+        self.dispatcher = dispatcher
+        self.tracing = tracing
+        self.clock = clock
+        self.metrics = metrics
+
+    async def look_up(self, request: CallerRequest) -> RunResult:
+        """Return the answer of the first target that gives a whole one.
+
+        :param request: the request.
+        """
+        if self.routes.is_quarantined(request):
+            refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
+            return RunResult(Outcome.UNKNOWN, refusal=refusal)
+        first = await self.routes.acquire(request)
+        if isinstance(first, Refusal):
+            return RunResult(Outcome.NOT_RUN, refusal=first)
+        router = self.routes.router(request.rule.service)
+        router.budget.earn()
+        return await _Race(self, request).run(first)
+
+
+class _Race:
+    """The attempts of one look-up, of which the first answer wins."""
+
+    def __init__(self, runner: LookupRunner, request: CallerRequest) -> None:
+        self._runner = runner
+        self._request = request
+        self._router = runner.routes.router(request.rule.service)
+        self._tried: list[str] = []
+        self._under_way = 0
+        self._perhaps_run = 0
+        self._answer: HttpAnswer | None = None
+        self._failure: Refusal | None = None
+        self._ended = anyio.Event()
+
+    async def run(self, first: Choice) -> RunResult:
+        remaining_s = self._request.deadline_s - self._runner.clock.now_s()
+        async with anyio.create_task_group() as group:
+            with anyio.move_on_after(max(remaining_s, 0)):
+                self._start(group, first, 'first')
+                await self._hedge(group)
+                await self._wait_or_retry(group)
+            group.cancel_scope.cancel()
+        return self._conclude()
+
+    async def _hedge(self, group: TaskGroup) -> None:
+        delay_s = self._router.hedge_delay_s()
+        if delay_s is None:
+            return
+        with anyio.move_on_after(max(delay_s, _MIN_HEDGE_DELAY_S)):
+            await self._ended.wait()
+        if not self._ended.is_set():
+            self._start_another(group, 'hedge')
+
+    async def _wait_or_retry(self, group: TaskGroup) -> None:
+        await self._ended.wait()
+        while self._answer is None and self._may_retry():
+            self._ended = anyio.Event()
+            if not self._start_another(group, 'retry'):
+                return
+            await self._ended.wait()
+
+    def _may_retry(self) -> bool:
+        return len(self._tried) < _MAX_ATTEMPTS and not (
+            self._runner.routes.is_quarantined(self._request)
+        )
+
+    def _start_another(self, group: TaskGroup, kind: str) -> bool:
+        if not self._router.budget.spend():
+            return False
+        routes = self._runner.routes
+        choice = routes.try_acquire(self._request, self._tried)
+        if choice is None:
+            return False
+        self._start(group, choice, kind)
+        return True
+
+    def _start(self, group: TaskGroup, choice: Choice, kind: str) -> None:
+        service = self._request.rule.service
+        self._runner.metrics.attempts.labels(service, kind).inc()
+        if kind != 'first':
+            now_s = self._runner.clock.now_s()
+            self._request.decision.note(now_s, f'that was a {kind}')
+        self._tried.append(choice.target.name)
+        self._under_way += 1
+        group.start_soon(self._attempt, choice)
+
+    async def _attempt(self, choice: Choice) -> None:
+        started_s = self._runner.clock.now_s()
+        verdict = Verdict.CANCELLED
+        try:
+            verdict = await self._send(choice)
+        finally:
+            self._finish(choice, started_s, verdict)
+        if self._answer is not None or not self._under_way:
+            self._ended.set()
+
+    def _finish(
+        self,
+        choice: Choice,
+        started_s: float,
+        verdict: Verdict,
+    ) -> None:
+        latency_s = self._runner.clock.now_s() - started_s
+        self._runner.routes.release(self._request, choice, latency_s, verdict)
+        self._under_way -= 1
+
+    async def _send(self, choice: Choice) -> Verdict:
+        request = self._request
+        now_s = self._runner.clock.now_s()
+        outgoing = request.to_target(request.deadline_s - now_s)
+        name = choice.target.name
+        with self._runner.tracing.start('target', request.headers) as span:
+            span.set_attribute('target', name)
+            self._runner.tracing.inject(outgoing.headers)
+            self._perhaps_run += 1
+            try:
+                answer = await self._runner.dispatcher.send(
+                    choice.target,
+                    outgoing,
+                )
+            except ShedError as error:
+                self._perhaps_run -= 1
+                self._note_failure(Reason.TARGET_SHED, error)
+                return Verdict.SHED
+            except NotSentError as error:
+                self._perhaps_run -= 1
+                self._note_failure(Reason.TARGET_UNREACHABLE, error)
+                return Verdict.LOST
+            except HttpError as error:
+                self._note_failure(Reason.TARGET_LOST, error)
+                if isinstance(error, LostError):
+                    await self._runner.routes.report_loss(request, choice)
+                return Verdict.LOST
+        self._answer = answer
+        self._request.decision.note(
+            self._runner.clock.now_s(),
+            f'{name} answered with status {answer.status}',
+        )
+        return Verdict.ANSWERED
+
+    def _note_failure(self, reason: Reason, error: HttpError) -> None:
+        self._failure = Refusal(reason, str(error), 1)
+        now_s = self._runner.clock.now_s()
+        self._request.decision.note(now_s, f'{reason}: {error}')
+
+    def _conclude(self) -> RunResult:
+        if self._answer is not None:
+            content_type = self._answer.headers.get('content-type', '')
+            return RunResult(
+                Outcome.RAN,
+                Answer(self._answer.status, content_type, self._answer.body),
+            )
+        failure = self._failure
+        if failure is None:
+            failure = Refusal(Reason.DEADLINE, 'no target answered in time')
+        outcome = Outcome.UNKNOWN if self._perhaps_run else Outcome.NOT_RUN
+        return RunResult(outcome, refusal=failure)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/once/_joins.py
@@ -0,0 +1,144 @@
+"""Asks claimants for results, and answers other instances that ask."""
+
+from typing import Final
+
+import anyio
+from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.once import (
+    AttemptState,
+    ClaimLedger,
+    Join,
+    Outcome,
+    RunResult,
+    lost_claimant,
+)
+from tamarackway_core.wire import JoinReply, JoinRequest, Message
+
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.peers import PeerLostError, PeerService
+
+_MAX_WAIT_S: Final = 60.0
+_HOP_S: Final = 1.0
+
+
+class RunWatch:
+    """Lets requests wait for the end of an attempt of this instance."""
+
+    def __init__(self) -> None:
+        """Start without attempts."""
+        self._events: dict[str, anyio.Event] = {}
+
+    def begin(self, token: str) -> None:
+        """Note that an attempt is under way."""
+        self._events[token] = anyio.Event()
+
+    def end(self, token: str) -> None:
+        """Wake all that wait for an attempt."""
+        event = self._events.pop(token, None)
+        if event is not None:
+            event.set()
+
+    async def wait(self, token: str, timeout_s: float) -> None:
+        """Wait until an attempt has ended or the time is over."""
+        event = self._events.get(token)
+        if event is not None:
+            with anyio.move_on_after(timeout_s):
+                await event.wait()
+
+
+class JoinService:
+    """Finds the result of a request that another attempt has claimed.
+
+    :param ledger: attempts of this instance.
+    :param watch: ends of attempts of this instance.
+    :param peers: the other entry instances.
+    :param incarnation: incarnation of this instance.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        ledger: ClaimLedger,
+        watch: RunWatch,
+        peers: PeerService,
+        incarnation: str,
+        clock: Clock,
+    ) -> None:
+        """Register for requests of peers."""
+        self._ledger = ledger
+        self._watch = watch
+        self._peers = peers
+        self._incarnation = incarnation
+        self._clock = clock
+        peers.handle(JoinRequest, self._answer)
+
+    async def join(
+        self,
+        row_key: str,
+        step: Join,
+        deadline_s: float,
+    ) -> RunResult:
+        """Return the claimant's word on a request.
+
+        :param row_key: key of the claim row.
+        :param step: names the claimant.
+        :param deadline_s: monotonic time by which to answer.
+        """
+        remaining_s = max(deadline_s - self._clock.now_s(), 0)
+        request = JoinRequest(
+            row_key,
+            step.token,
+            step.incarnation,
+            remaining_s,
+        )
+        if step.incarnation == self._incarnation:
+            return await self._find_claimed(request)
+        try:
+            reply = await self._peers.ask(
+                step.claimant,
+                request,
+                remaining_s + _HOP_S,
+            )
+        except PeerLostError:
+            return lost_claimant()
+        if isinstance(reply, JoinReply):
+            return reply.run
+        return lost_claimant()
+
+    async def follow(
+        self,
+        row_key: str,
+        token: str,
+        deadline_s: float,
+    ) -> RunResult:
+        """Return what the caller of an attempt of this instance is told.
+
+        :param row_key: key of the claim row.
+        :param token: token of the attempt.
+        :param deadline_s: monotonic time by which to answer.
+        """
+        wait_s = max(deadline_s - self._clock.now_s(), 0)
+        await self._watch.wait(token, wait_s)
+        return self._recall(row_key, token)
+
+    async def _answer(self, request: JoinRequest) -> Message:
+        return JoinReply(await self._find_claimed(request))
+
+    async def _find_claimed(self, request: JoinRequest) -> RunResult:
+        if request.incarnation != self._incarnation:
+            return lost_claimant()
+        wait_s = min(request.timeout_s, _MAX_WAIT_S)
+        await self._watch.wait(request.token, wait_s)
+        if self._ledger.is_not_run(request.token):
+            refusal = Refusal(Reason.TARGET_UNREACHABLE, 'not run before')
+            return RunResult(Outcome.NOT_RUN, refusal=refusal)
+        return self._recall(request.row_key, request.token)
+
+    def _recall(self, row_key: str, token: str) -> RunResult:
+        attempt = self._ledger.find(row_key)
+        if attempt is None or attempt.token != token:
+            return lost_claimant()
+        if attempt.state != AttemptState.ENDED or attempt.result is None:
+            refusal = Refusal(Reason.DEADLINE, 'the request still runs', 1)
+            return RunResult(Outcome.UNKNOWN, refusal=refusal)
+        return attempt.result
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/once/_runner.py
@@ -0,0 +1,231 @@
+"""Runs a request at most once: claim, dispatch, record."""
+
+import uuid
+from dataclasses import replace
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.once import (
+    Answer,
+    Attempt,
+    ClaimLedger,
+    Outcome,
+    RunResult,
+)
+from tamarackway_core.routing import Choice, Verdict
+
+from tamarackway_entry.http import HttpError, LostError, NotSentError
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.once._claimer import Claimed, Claimer
+from tamarackway_entry.once._joins import JoinService, RunWatch
+from tamarackway_entry.once._recorder import OutcomeRecorder
+from tamarackway_entry.routes import CallerRequest, RouteService
+from tamarackway_entry.targets import Dispatcher, ShedError
+from tamarackway_entry.telemetry import Metrics, Tracing
+
+_MAX_TARGETS: Final = 3
+_GRACE_S: Final = 10.0
+_RETRY_AFTER_S: Final = 1
+
+
+class OnceRunner:
+    """Runs requests that may run at most once.
+
+    :param ledger: attempts of this instance.
+    :param watch: ends of attempts of this instance.
+    :param claims: claims requests.
+    :param recorder: writes outcomes.
+    :param joins: waits for attempts.
+    :param routes: chooses targets.
+    :param dispatcher: sends requests to targets.
+    :param tracing: starts a span for each hop.
+    :param clock: clocks of the daemon.
+    :param metrics: metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        ledger: ClaimLedger,
+        watch: RunWatch,
+        claims: Claimer,
+        recorder: OutcomeRecorder,
+        joins: JoinService,
+        routes: RouteService,
+        dispatcher: Dispatcher,
+        tracing: Tracing,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Remember the parts."""
+        self._ledger = ledger
+        self._watch = watch
+        self._claims = claims
+        self._recorder = recorder
+        self._joins = joins
+        self._routes = routes
+        self._dispatcher = dispatcher
+        self._tracing = tracing
+        self._clock = clock
+        self._metrics = metrics
+        self._group: TaskGroup | None = None
+        self._under_way = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is under way."""
+        return not self._under_way
+
+    async def run(self) -> None:
+        """Host the runs, which go on when their callers leave."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    async def run_once(self, request: CallerRequest, key: str) -> RunResult:
+        """Return the one result of a request.
+
+        :param request: the request.
+        :param key: key of its claim row.
+        """
+        if self._routes.is_quarantined(request):
+            refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
+            return RunResult(Outcome.UNKNOWN, refusal=refusal)
+        known = self._ledger.find(key)
+        if known is not None and known.digest != request.digest:
+            return _refuse(Reason.KEY_REUSED, 'another request has this key')
+        if known is not None and not self._ledger.is_not_run(known.token):
+            return await self._follow(request, key, known)
+        return await self._attempt(request, key)
+
+    async def _follow(
+        self,
+        request: CallerRequest,
+        key: str,
+        known: Attempt,
+    ) -> RunResult:
+        request.decision.note(
+            self._clock.now_s(),
+            'a resend: this instance has the request already',
+        )
+        return await self._joins.follow(key, known.token, request.deadline_s)
+
+    async def _attempt(self, request: CallerRequest, key: str) -> RunResult:
+        token = str(uuid.uuid4())
+        if self._group is None:
+            return _refuse(Reason.STOPPING, 'the instance is starting')
+        self._ledger.begin_claim(key, token, request.digest)
+        self._watch.begin(token)
+        self._group.start_soon(self._carry_out, request, key, token)
+        return await self._joins.follow(key, token, request.deadline_s)
+
+    async def _carry_out(
+        self,
+        request: CallerRequest,
+        key: str,
+        token: str,
+    ) -> None:
+        result = RunResult(
+            Outcome.UNKNOWN,
+            refusal=Refusal(Reason.TARGET_LOST, 'the run was broken off'),
+        )
+        claim: Claimed | RunResult | None = None
+        self._under_way += 1
+        try:
+            with self._tracing.start('claim', request.headers):
+                claim = await self._claims.claim(request, key, token)
+            if isinstance(claim, Claimed):
+                result = await self._dispatch(request, key, token)
+            else:
+                result = claim
+        finally:
+            self._end(key, token, result)
+        if isinstance(claim, Claimed):
+            self._recorder.record(key, claim, result)
+
+    def _end(self, key: str, token: str, result: RunResult) -> None:
+        self._ledger.end(key, token, result)
+        self._watch.end(token)
+        self._under_way -= 1
+
+    async def _dispatch(
+        self,
+        request: CallerRequest,
+        key: str,
+        token: str,
+    ) -> RunResult:
+        if not self._ledger.begin_run(key, token):
+            return _refuse(Reason.DEADLINE, 'the attempt was given up')
+        tried: list[str] = []
+        result = _refuse(Reason.NO_TARGET, 'no target was tried')
+        while len(tried) < _MAX_TARGETS:
+            choice = await self._routes.acquire(request, tried)
+            if isinstance(choice, Refusal):
+                return RunResult(Outcome.NOT_RUN, refusal=choice)
+            tried.append(choice.target.name)
+            result = await self._try_target(request, choice)
+            if result.outcome != Outcome.NOT_RUN:
+                break
+        return result
+
+    async def _try_target(
+        self,
+        request: CallerRequest,
+        choice: Choice,
+    ) -> RunResult:
+        started_s = self._clock.now_s()
+        service = request.rule.service
+        self._metrics.attempts.labels(service, 'first').inc()
+        verdict = Verdict.CANCELLED
+        try:
+            verdict, result = await self._send(request, choice)
+        finally:
+            latency_s = self._clock.now_s() - started_s
+            self._routes.release(request, choice, latency_s, verdict)
+        shown = result.refusal.detail if result.refusal else 'answered'
+        request.decision.note(
+            self._clock.now_s(),
+            f'{choice.target.name}: {result.outcome}, {shown}',
+        )
+        return result
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        choice: Choice,
+    ) -> tuple[Verdict, RunResult]:
+        remaining_s = request.deadline_s - self._clock.now_s()
+        if remaining_s <= 0:
+            late = _refuse(Reason.DEADLINE, 'no time was left to run it')
+            return Verdict.CANCELLED, late
+        outgoing = request.to_target(remaining_s)
+        outgoing = replace(outgoing, timeout_s=remaining_s + _GRACE_S)
+        with self._tracing.start('target', request.headers) as span:
+            span.set_attribute('target', choice.target.name)
+            self._tracing.inject(outgoing.headers)
+            try:
+                answer = await self._dispatcher.send(
+                    choice.target,
+                    outgoing,
+                    fresh=True,
+                )
+            except ShedError as error:
+                return Verdict.SHED, _refuse(Reason.TARGET_SHED, str(error))
+            except NotSentError as error:
+                refused = _refuse(Reason.TARGET_UNREACHABLE, str(error))
+                return Verdict.LOST, refused
+            except HttpError as error:
+                if isinstance(error, LostError):
+                    await self._routes.report_loss(request, choice)
+                lost = Refusal(Reason.TARGET_LOST, str(error))
+                return Verdict.LOST, RunResult(Outcome.UNKNOWN, refusal=lost)
+        content_type = answer.headers.get('content-type', '')
+        whole = Answer(answer.status, content_type, answer.body)
+        return Verdict.ANSWERED, RunResult(Outcome.RAN, whole)
+
+
+def _refuse(reason: Reason, detail: str) -> RunResult:
+    refusal = Refusal(reason, detail, _RETRY_AFTER_S)
+    return RunResult(Outcome.NOT_RUN, refusal=refusal)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/peers/_service.py
@@ -0,0 +1,227 @@
+"""Membership and messages among entry instances."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, Protocol, TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from tamarackway_core.membership import Member, MembershipView
+from tamarackway_core.places import parse_address
+from tamarackway_core.wire import Heartbeat, Message, Ok
+
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.peers._link import PeerLink, PeerLostError
+from tamarackway_entry.peers._server import PeerServer
+from tamarackway_entry.platform import InventoryService
+from tamarackway_entry.settings import Settings
+from tamarackway_entry.telemetry import Metrics, part_logger
+
+_REPLY_TIMEOUT_S: Final = 1.0
+_ASK_TIMEOUT_S: Final = 1.0
+_MAX_MISSED: Final = 2
+_log = part_logger('peers')
+_Kind = TypeVar('_Kind')
+_Handler = Callable[[Any], Awaitable[Message]]
+
+
+class SelfView(Protocol):
+    """Describes this entry instance for heartbeats."""
+
+    def describe(self) -> Member:
+        """Return this instance as peers should see it."""
+
+
+class PeerService:
+    """Keeps a link to each peer, sends heartbeats and passes messages.
+
+    :param settings: settings of the daemon.
+    :param inventory: the instance list, which names the peers.
+    :param clock: clocks of the daemon.
+    :param metrics: metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        inventory: InventoryService,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start without links."""
+        self.members = MembershipView()
+        self.self_view: SelfView | None = None
+        self._settings = settings
+        self._inventory = inventory
+        self._clock = clock
+        self._metrics = metrics
+        self._links: dict[str, PeerLink] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._names: dict[str, str] = {}
+        self._handlers: dict[type[object], _Handler] = {}
+        self._listeners: list[Callable[[Member], None]] = []
+
+    def handle(
+        self,
+        kind: type[_Kind],
+        handler: Callable[[_Kind], Awaitable[Message]],
+    ) -> None:
+        """Let a function answer one kind of message.
+
+        :param kind: class of the message.
+        :param handler: returns the reply.
+        """
+        self._handlers[kind] = handler
+
+    def listen(self, listener: Callable[[Member], None]) -> None:
+        """Call a function with each heartbeat that is heard.
+
+        :param listener: takes the member that was heard.
+        """
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Serve peers and send heartbeats until cancelled."""
+        self.handle(Heartbeat, self._take_heartbeat)
+        server = PeerServer(
+            parse_address(self._settings.instance.peers),
+            self._settings.peers.keys,
+            self._dispatch,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            while True:
+                self._update_links(group)
+                live = self.list_live()
+                self._metrics.peers_live.set(len(live))
+                await anyio.sleep(self._settings.peers.heartbeat_s)
+
+    def list_members(self) -> list[Member]:
+        """Return the other entry instances, in any state."""
+        return self.members.list_members(self._clock.now_s())
+
+    def list_live(self) -> list[Member]:
+        """Return the other entry instances that are alive."""
+        return self.members.list_live(self._clock.now_s())
+
+    async def ask(
+        self,
+        name: str,
+        message: Message,
+        timeout_s: float = _ASK_TIMEOUT_S,
+    ) -> Message:
+        """Send a request to a peer and return its reply.
+
+        :param name: name of the peer.
+        :param message: the request.
+        :param timeout_s: longest wait for the reply in seconds.
+        :raises PeerLostError: if there is no reply.
+        """
+        address = self._names.get(name)
+        link = self._links.get(address) if address else None
+        if link is None:
+            raise PeerLostError(f'no link to {name}')
+        return await link.ask(message, timeout_s)
+
+    async def broadcast(self, message: Message) -> int:
+        """Send a message to all linked peers and return how many replied.
+
+        :param message: the message.
+        """
+        replies: list[Message] = []
+
+        async def send(name: str) -> None:
+            try:
+                replies.append(await self.ask(name, message))
+            except PeerLostError as error:
+                _log.info('%s was not told: %s.', name, error)
+
+        async with anyio.create_task_group() as group:
+            for name in list(self._names):
+                group.start_soon(send, name)
+        return len(replies)
+
+    async def beat_now(self) -> None:
+        """Send a heartbeat to all peers at once."""
+        if self.self_view is not None:
+            await self.broadcast(Heartbeat(self.self_view.describe()))
+
+    def _update_links(self, group: TaskGroup) -> None:
+        own = self._settings.instance.name
+        wanted = {
+            instance.peers
+            for instance in self._inventory.inventory.instances
+            if instance.name != own
+        }
+        wanted.update(member.instance.peers for member in self.list_members())
+        if not wanted:
+            wanted.update(self._settings.peers.seeds)
+        wanted.discard(self._settings.instance.peers)
+        for address in wanted - self._links.keys():
+            self._links[address] = self._build_link(address)
+            self._scopes[address] = anyio.CancelScope()
+            group.start_soon(
+                self._keep_link,
+                self._links[address],
+                self._scopes[address],
+            )
+        for address in self._links.keys() - wanted:
+            self._scopes.pop(address).cancel()
+            self._links.pop(address)
+
+    def _build_link(self, address: str) -> PeerLink:
+        return PeerLink(
+            parse_address(address),
+            self._settings.instance.outgoing_host,
+            self._settings.peers.keys,
+        )
+
+    async def _keep_link(
+        self,
+        link: PeerLink,
+        scope: anyio.CancelScope,
+    ) -> None:
+        with scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(link.run)
+                group.start_soon(self._beat, link)
+
+    async def _beat(self, link: PeerLink) -> None:
+        missed = 0
+        while True:
+            await anyio.sleep(self._settings.peers.heartbeat_s)
+            if self.self_view is None:
+                continue
+            heartbeat = Heartbeat(self.self_view.describe())
+            try:
+                reply = await link.ask(heartbeat, _REPLY_TIMEOUT_S)
+            except PeerLostError:
+                missed += 1
+                if missed >= _MAX_MISSED:
+                    await link.reset()
+                    missed = 0
+                continue
+            missed = 0
+            if isinstance(reply, Heartbeat):
+                name = reply.member.instance.name
+                self._names[name] = str(link.address)
+                self._hear(reply.member)
+
+    async def _take_heartbeat(self, message: Heartbeat) -> Message:
+        self._hear(message.member)
+        if self.self_view is None:
+            return Ok()
+        return Heartbeat(self.self_view.describe())
+
+    def _hear(self, member: Member) -> None:
+        if member.instance.name == self._settings.instance.name:
+            return
+        self.members.hear(member, self._clock.now_s())
+        for listener in self._listeners:
+            listener(member)
+
+    async def _dispatch(self, message: Message) -> Message:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            _log.warning('No part handles %s.', type(message).__name__)
+            return Ok()
+        return await handler(message)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/plans/__init__.py
@@ -0,0 +1,6 @@
+"""The plan in force: acceptance, spread and recovery."""
+
+from tamarackway_entry.plans._current import CurrentPlan as CurrentPlan
+from tamarackway_entry.plans._service import PlanService as PlanService
+from tamarackway_entry.plans._submit import PlanInDoubtError as PlanInDoubtError
+from tamarackway_entry.plans._submit import PlanSubmitter as PlanSubmitter
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/platform/_errors.py
@@ -0,0 +1,19 @@
+"""How a call of the platform can fail."""
+
+from tamarackway_core.errors import TamarackwayError
+
+
+class StoreUnavailableError(TamarackwayError):
+    """The call certainly had no effect."""
+
+    def __init__(self, problem: str) -> None:
+        """Name the remedy."""
+        super().__init__(problem, 'try again once the platform is up')
+
+
+class StoreInDoubtError(TamarackwayError):
+    """The answer was lost, so the call may have had its effect."""
+
+    def __init__(self, problem: str) -> None:
+        """Name the remedy."""
+        super().__init__(problem, 'read back what the call wrote')
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/platform/_inventory.py
@@ -0,0 +1,84 @@
+"""Reads the platform's lagging list of instances."""
+
+import json
+from typing import Final
+
+import anyio
+import msgspec
+from tamarackway_core.places import Inventory
+
+from tamarackway_entry.http import (
+    ConnectionPool,
+    HttpAnswer,
+    HttpError,
+    HttpRequest,
+)
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.telemetry import Metrics, part_logger
+
+_INTERVAL_S: Final = 0.5
+_OK: Final = 200
+_log = part_logger('inventory')
+
+
+class InventoryService:
+    """Keeps the instance list as last read.
+
+    :param pool: connections to the instance list.
+    :param timeout_s: longest wait for an answer in seconds.
+    :param clock: clocks of the daemon.
+    :param metrics: metrics of the daemon.
+
+    While the list cannot be read, the last one stays in use, and a metric
+    tells its age.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        timeout_s: float,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start with an empty list."""
+        self.inventory = Inventory()
+        self._pool = pool
+        self._timeout_s = timeout_s
+        self._clock = clock
+        self._metrics = metrics
+        self._read_s = clock.now_s()
+        self._failing = False
+
+    async def run(self) -> None:
+        """Read the list again and again until cancelled."""
+        while True:
+            await self.refresh()
+            age_s = self._clock.now_s() - self._read_s
+            self._metrics.inventory_age_s.set(age_s)
+            await anyio.sleep(_INTERVAL_S)
+
+    async def refresh(self) -> None:
+        """Read the list once, and keep the last one if that fails."""
+        request = HttpRequest(
+            'GET',
+            '/v1/instances',
+            {},
+            b'',
+            self._timeout_s,
+        )
+        try:
+            answer = await self._pool.send(request)
+            self.inventory = _parse(answer)
+        except (HttpError, ValueError) as error:
+            if not self._failing:
+                _log.warning('The instance list cannot be read: %s.', error)
+            self._failing = True
+            return
+        self._read_s = self._clock.now_s()
+        self._failing = False
+
+
+def _parse(answer: HttpAnswer) -> Inventory:
+    if answer.status != _OK:
+        raise ValueError(f'the instance list answered {answer.status}')
+    return msgspec.convert(json.loads(answer.body), Inventory)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/routes/__init__.py
@@ -0,0 +1,5 @@
+"""Routes requests: a router, a queue and a quarantine for each service."""
+
+from tamarackway_entry.routes._queue import SlotQueue as SlotQueue
+from tamarackway_entry.routes._request import CallerRequest as CallerRequest
+from tamarackway_entry.routes._service import RouteService as RouteService
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/routes/_service.py
@@ -0,0 +1,312 @@
+"""Chooses targets for requests of all services."""
+
+import random
+from collections.abc import Collection, Sequence
+from typing import Final
+
+import anyio
+from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.quarantine import QuarantineRegister
+from tamarackway_core.routing import (
+    Choice,
+    LeastCostPolicy,
+    RegionChoice,
+    RouterSettings,
+    ServiceRouter,
+    Verdict,
+    order_regions,
+)
+from tamarackway_core.sheet import PlanRow
+from tamarackway_core.wire import LossReport, Message, Ok
+
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.peers import PeerService
+from tamarackway_entry.plans import CurrentPlan
+from tamarackway_entry.routes._queue import SlotQueue
+from tamarackway_entry.routes._request import CallerRequest
+from tamarackway_entry.settings import Settings
+from tamarackway_entry.shares import ShareService
+from tamarackway_entry.targets import TargetDirectory
+from tamarackway_entry.telemetry import Metrics, part_logger
+
+_TICK_S: Final = 0.2
+_MS_PER_S: Final = 1000
+_SHORTEST_WAIT_S: Final = 0.001
+_RETRY_AFTER_S: Final = 1
+_CAPPED_WAIT_S: Final = 0.02
+_log = part_logger('routes')
+
+
+class RouteService:
+    """Holds a router for each service.
+
+    :param settings: settings of the daemon.
+    :param current: the plan in force.
+    :param directory: the targets.
+    :param shares: admits requests under caps.
+    :param peers: the other entry instances.
+    :param clock: clocks of the daemon.
+    :param metrics: metrics of the daemon.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        current: CurrentPlan,
+        directory: TargetDirectory,
+        shares: ShareService,
+        peers: PeerService,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start without routers."""
+        self._settings = settings
+        self._current = current
+        self._directory = directory
+        self._shares = shares
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = random.Random()  # ruff: ignore[suspicious-non-cryptographic-random-usage]
+        self._routers: dict[str, ServiceRouter] = {}
+        self._queues: dict[str, SlotQueue] = {}
+        self._quarantine = QuarantineRegister()
+        peers.handle(LossReport, self._take_loss)
+
+    async def run(self) -> None:
+        """Follow changes of targets until cancelled."""
+        while True:
+            for service, router in self._routers.items():
+                self._update(service, router)
+                self._queues[service].wake_all()
+            await anyio.sleep(_TICK_S)
+
+    def router(self, service: str) -> ServiceRouter:
+        """Return the router of a service."""
+        router = self._routers.get(service)
+        if router is None:
+            routing = self._settings.routing
+            router = ServiceRouter(
+                LeastCostPolicy(len(self._peers.list_live()) + 1),
+                RouterSettings(routing.extra_share, routing.hedge_quantile),
+            )
+            self._routers[service] = router
+            self._queues[service] = SlotQueue(
+                self._settings.callers.max_waiting,
+            )
+            self._update(service, router)
+        return router
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests in flight by service."""
+        return {
+            service: router.in_flight
+            for service, router in self._routers.items()
+        }
+
+    def regions(self, request: CallerRequest) -> list[RegionChoice]:
+        """Return the regions for a request, the best first."""
+        distances_s = {
+            region: distance_ms / _MS_PER_S
+            for region, distance_ms in (
+                self._settings.routing.distances_ms.items()
+            )
+        }
+        return order_regions(
+            request.rule,
+            request.home,
+            distances_s,
+            self._current.shares(request.rule, self._clock.time_s()),
+            request.request_id,
+        )
+
+    async def acquire(
+        self,
+        request: CallerRequest,
+        excluded: Collection[str] = (),
+    ) -> Choice | Refusal:
+        """Return a target with a free slot, after waiting for one if need be.
+
+        :param request: the request.
+        :param excluded: names of targets that must not be chosen.
+
+        The attempt is counted as started; :meth:`release` must follow.
+        """
+        service = request.rule.service
+        router = self.router(service)
+        queue = self._queues[service]
+        ticket = queue.take_ticket()
+        regions = self.regions(request)
+        while True:
+            found = self._choose(request, router, regions, excluded)
+            if isinstance(found, Choice):
+                return found
+            refusal = self._refuse_wait(request, router, queue, regions)
+            remaining_s = request.deadline_s - self._clock.now_s()
+            if found is not None:
+                refusal = _refuse_capped(found, remaining_s) or refusal
+                remaining_s = min(remaining_s, _CAPPED_WAIT_S)
+            if refusal is not None:
+                return refusal
+            self._metrics.waiting.labels(service).inc()
+            try:
+                await queue.wait(ticket, max(remaining_s, _SHORTEST_WAIT_S))
+            finally:
+                self._metrics.waiting.labels(service).dec()
+
+    def try_acquire(
+        self,
+        request: CallerRequest,
+        excluded: Collection[str],
+    ) -> Choice | None:
+        """Return another target if one has a spare slot now.
+
+        :param request: the request.
+        :param excluded: names of targets that must not be chosen.
+        """
+        router = self.router(request.rule.service)
+        regions = self.regions(request)
+        found = self._choose(request, router, regions, excluded)
+        if isinstance(found, Choice):
+            return found
+        return None
+
+    def release(
+        self,
+        request: CallerRequest,
+        choice: Choice,
+        latency_s: float,
+        verdict: Verdict,
+    ) -> None:
+        """Record how an attempt ended and wake a waiting request.
+
+        :param request: the request.
+        :param choice: what :meth:`acquire` returned.
+        :param latency_s: time since dispatch in seconds.
+        :param verdict: how the attempt ended.
+        """
+        service = request.rule.service
+        now_s = self._clock.now_s()
+        self._routers[service].finish(choice, latency_s, verdict, now_s)
+        self._metrics.verdicts.labels(service, verdict).inc()
+        self._queues[service].wake()
+
+    def is_quarantined(self, request: CallerRequest) -> bool:
+        """Return whether targets have died of the request."""
+        now_s = self._clock.now_s()
+        return self._quarantine.is_quarantined(request.digest, now_s)
+
+    async def report_loss(
+        self,
+        request: CallerRequest,
+        choice: Choice,
+    ) -> None:
+        """Tell all entry instances that a target died running a request.
+
+        :param request: the request.
+        :param choice: the target.
+        """
+        group = self._directory.list_service(request.rule.service)
+        now_s = self._clock.now_s()
+        if self._quarantine.is_group_failing(len(group), now_s):
+            _log.warning('Many targets of %s die.', request.rule.service)
+            return
+        report = LossReport(
+            request.digest,
+            choice.target.name,
+            choice.target.incarnation,
+        )
+        await self._take_loss(report)
+        await self._peers.broadcast(report)
+
+    async def _take_loss(self, report: LossReport) -> Message:
+        self._quarantine.report(
+            report.fingerprint,
+            report.target,
+            report.incarnation,
+            self._clock.now_s(),
+        )
+        return Ok()
+
+    def _choose(
+        self,
+        request: CallerRequest,
+        router: ServiceRouter,
+        regions: Sequence[RegionChoice],
+        excluded: Collection[str],
+    ) -> Choice | PlanRow | None:
+        """Return a target, the row of a cap that is reached, or None."""
+        now_s = self._clock.now_s()
+        left = list(regions)
+        capped = None
+        while left:
+            choice = router.choose(left, now_s, self._rng, excluded)
+            if choice is None:
+                break
+            capped = self._shares.admit(
+                choice.region.region,
+                request.rule.service,
+            )
+            if capped is None:
+                router.start(choice)
+                self._explain(request, choice, now_s)
+                return choice
+            request.decision.cite(capped)
+            request.decision.note(
+                now_s,
+                f'{choice.region.region} is at its cap of {capped.amount:g} '
+                f'{capped.unit}, so another region was considered',
+            )
+            left.remove(choice.region)
+        return capped
+
+    def _refuse_wait(
+        self,
+        request: CallerRequest,
+        router: ServiceRouter,
+        queue: SlotQueue,
+        regions: Sequence[RegionChoice],
+    ) -> Refusal | None:
+        if not router.has_targets(regions):
+            return Refusal(
+                Reason.NO_TARGET,
+                f'no target of {request.rule.service} is live',
+                1,
+            )
+        if self._clock.now_s() >= request.deadline_s:
+            return Refusal(Reason.DEADLINE, 'no slot was free in time')
+        if queue.is_full:
+            return Refusal(Reason.QUEUE_FULL, f'{len(queue)} are waiting', 1)
+        return None
+
+    def _explain(
+        self,
+        request: CallerRequest,
+        choice: Choice,
+        now_s: float,
+    ) -> None:
+        decision = request.decision
+        decision.cite(choice.region.row)
+        place = choice.target.place
+        text = (
+            f'sent to target {choice.target.name} in {place.region}, failure '
+            f'domain {place.failure_domain}: the least expected wait of '
+            f'{choice.candidates} usable targets; the region serves '
+            f'{choice.region.share:.0%} of the requests that reach it'
+        )
+        if choice.ejected:
+            left_out = ', '.join(choice.ejected)
+            text = f'{text}; left out as too slow: {left_out}'
+        decision.note(now_s, text)
+
+    def _update(self, service: str, router: ServiceRouter) -> None:
+        now_s = self._clock.now_s()
+        router.update_targets(self._directory.list_service(service), now_s)
+        if isinstance(router.policy, LeastCostPolicy):
+            router.policy.entries = len(self._peers.list_live()) + 1
+
+
+def _refuse_capped(row: PlanRow, remaining_s: float) -> Refusal | None:
+    if remaining_s > 0:
+        return None
+    return Refusal(Reason.REGION_CAP, row.describe(), _RETRY_AFTER_S)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/settings/_load.py
@@ -0,0 +1,85 @@
+"""Reads the settings file and reports all of its faults at once."""
+
+import dataclasses
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final, get_type_hints
+
+import msgspec
+from tamarackway_core.errors import SettingsError
+
+from tamarackway_entry.settings._checks import find_faults
+from tamarackway_entry.settings._model import Settings
+
+_REMEDY: Final = 'see docs/OPERATING.md for the settings'
+_Document = dict[str, Any]
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the settings in a file.
+
+    :param path: TOML file.
+    :raises SettingsError: with every fault of the file, if it has any.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f'cannot read {path}: {error}',
+            'name a readable file with --settings',
+        ) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings in a text.
+
+    :param text: TOML.
+    :raises SettingsError: with every fault of the text, if it has any.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f'not TOML: {error}', _REMEDY) from error
+    faults = [*_find_unknown_keys(document), *_find_type_faults(document)]
+    if faults:
+        raise _combine(faults)
+    settings = msgspec.convert(document, Settings)
+    faults = list(find_faults(settings))
+    if faults:
+        raise _combine(faults)
+    return settings
+
+
+def _combine(faults: list[str]) -> SettingsError:
+    listing = '\n'.join(f'- {fault}' for fault in faults)
+    return SettingsError(f'the settings have faults:\n{listing}\n', _REMEDY)
+
+
+def _find_unknown_keys(document: _Document) -> Iterator[str]:
+    for section, kind in get_type_hints(Settings).items():
+        known = {field.name for field in dataclasses.fields(kind)}
+        keys = document.get(section, {})
+        if isinstance(keys, dict):
+            for key in keys.keys() - known:
+                yield f'[{section}] has no setting {key!r}'
+    for section in document.keys() - get_type_hints(Settings).keys():
+        yield f'there is no section [{section}]'
+
+
+def _find_type_faults(document: _Document) -> Iterator[str]:
+    required = {
+        field.name
+        for field in dataclasses.fields(Settings)
+        if field.default_factory is dataclasses.MISSING
+    }
+    for section, kind in get_type_hints(Settings).items():
+        if section not in document:
+            if section in required:
+                yield f'section [{section}] is missing'
+            continue
+        try:
+            msgspec.convert(document[section], kind)
+        except msgspec.ValidationError as error:
+            yield f'[{section}] {error}'
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/telemetry/_logs.py
@@ -0,0 +1,46 @@
+"""JSON logs whose messages start with the name of a part."""
+
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class PartLogger(logging.LoggerAdapter[logging.Logger]):
+    """Logger that puts the name of its part before each message."""
+
+    def process(
+        self,
+        msg: Any,
+        kwargs: MutableMapping[str, Any],
+    ) -> tuple[Any, MutableMapping[str, Any]]:
+        """Return the message with its prefix."""
+        return f'{self.logger.name}: {msg}', kwargs
+
+
+def part_logger(part: str) -> PartLogger:
+    """Return the logger of a part of the daemon.
+
+    :param part: name of the part, which each message starts with.
+    """
+    return PartLogger(logging.getLogger(part))
+
+
+def set_up_logs(level: str, instance: str) -> None:
+    """Send the logs of all parts to standard error as JSON lines.
+
+    :param level: least severe level that is logged.
+    :param instance: name of the instance, repeated on each line.
+    """
+    formatter = JsonFormatter(
+        '{asctime}{levelname}{message}',
+        style='{',
+        static_fields={'instance': instance},
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    for noisy in ('websockets', 'uvicorn', 'httpcore'):
+        logging.getLogger(noisy).setLevel(logging.CRITICAL)
--- /dev/null
+++ b/packages/standins/src/tamarackway_standins/faults/_gate.py
@@ -0,0 +1,128 @@
+"""ASGI middleware that makes a store slow, frozen, down or forgetful."""
+
+import json
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable, MutableMapping
+from dataclasses import asdict, dataclass, replace
+from typing import Any, Final
+
+import anyio
+
+_Message = MutableMapping[str, Any]
+_Receive = Callable[[], Awaitable[_Message]]
+_Send = Callable[[_Message], Awaitable[None]]
+_App = Callable[[_Message, _Receive, _Send], Awaitable[None]]
+
+FAULTS_PATH: Final = '/faults'
+_POLL_S: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFaults:
+    """Faults of a store that are in force.
+
+    :param down: answer 503 to everything.
+    :param frozen: answer nothing until this is switched off.
+    :param lose_answers: apply requests, but answer none of them.
+    :param delay_s: time to wait before a request is applied, in seconds.
+    :param rate_per_s: requests a second that are accepted; 0 for no limit.
+    """
+
+    down: bool = False
+    frozen: bool = False
+    lose_answers: bool = False
+    delay_s: float = 0
+    rate_per_s: int = 0
+
+
+class FaultGate:
+    """Passes requests to an application as the faults in force allow.
+
+    :param app: application behind the gate.
+
+    ``GET /faults`` shows the faults, ``PUT /faults`` changes some of them.
+    """
+
+    def __init__(self, app: _App) -> None:
+        """Start without faults."""
+        self.faults = StoreFaults()
+        self._app = app
+        self._accepted_s: deque[float] = deque()
+
+    async def __call__(
+        self,
+        scope: _Message,
+        receive: _Receive,
+        send: _Send,
+    ) -> None:
+        """Serve one request."""
+        if scope['path'] == FAULTS_PATH:
+            await self._serve_faults(scope, receive, send)
+            return
+        await anyio.sleep(self.faults.delay_s)
+        while self.faults.frozen:
+            await anyio.sleep(_POLL_S)
+        if self.faults.down:
+            await send_json(send, 503, {'error': 'down'})
+        elif self._is_over_rate():
+            await send_json(send, 429, {'error': 'rate limit'})
+        elif self.faults.lose_answers:
+            await self._app(scope, receive, _discard)
+            while self.faults.lose_answers:
+                await anyio.sleep(_POLL_S)
+            await send_json(send, 503, {'error': 'answer lost'})
+        else:
+            await self._app(scope, receive, send)
+
+    async def _serve_faults(
+        self,
+        scope: _Message,
+        receive: _Receive,
+        send: _Send,
+    ) -> None:
+        if scope['method'] == 'PUT':
+            changes = json.loads(await read_body(receive))
+            self.faults = replace(self.faults, **changes)
+        await send_json(send, 200, asdict(self.faults))
+
+    def _is_over_rate(self) -> bool:
+        if not self.faults.rate_per_s:
+            return False
+        now_s = time.monotonic()
+        while self._accepted_s and now_s - self._accepted_s[0] >= 1:
+            self._accepted_s.popleft()
+        if len(self._accepted_s) >= self.faults.rate_per_s:
+            return True
+        self._accepted_s.append(now_s)
+        return False
+
+
+async def read_body(receive: _Receive) -> bytes:
+    """Return the whole body of an ASGI request."""
+    body = b''
+    more = True
+    while more:
+        message = await receive()
+        body += message.get('body', b'')
+        more = message.get('more_body', False)
+    return body
+
+
+async def send_json(send: _Send, status: int, document: Any) -> None:
+    """Send a whole JSON answer over ASGI."""
+    body = json.dumps(document).encode()
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await send({
+        'type': 'http.response.start',
+        'status': status,
+        'headers': headers,
+    })
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def _discard(_message: _Message) -> None:
+    """Drop a part of an answer."""
--- /dev/null
+++ b/packages/standins/src/tamarackway_standins/links/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in for the links between places: delays, cuts and silence."""
+
+from tamarackway_standins.links._app import run_links as run_links
+from tamarackway_standins.links._relay import Relay as Relay
+from tamarackway_standins.links._topology import Topology as Topology
--- /dev/null
+++ b/packages/standins/src/tamarackway_standins/table/_rows.py
@@ -0,0 +1,80 @@
+"""Rows with revisions and all-or-nothing transactions."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row.
+
+    :param revision: number of the transaction that wrote the row.
+    :param value: any JSON value.
+    """
+
+    revision: int
+    value: Any
+
+
+_ABSENT: Final = Row(0, None)
+
+
+class Rows:
+    """The rows of the table, kept in memory."""
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self._rows: dict[str, Row] = {}
+        self.revision = 0
+        self.writes = 0
+        self.reads = 0
+
+    def transact(
+        self,
+        operations: list[dict[str, Any]],
+    ) -> list[dict[str, Any]]:
+        """Apply all operations or none, and return those that conflict.
+
+        :param operations: each has a ``key``, a ``value`` (null deletes the
+            row) and may have ``expect``, the revision that the row must have
+            (0 if it must be absent).
+        """
+        self.writes += 1
+        conflicts = [
+            {
+                'index': index,
+                'key': operation['key'],
+                'row': self.read(operation['key']),
+            }
+            for index, operation in enumerate(operations)
+            if not self._holds(operation)
+        ]
+        if conflicts:
+            return conflicts
+        self.revision += 1
+        for operation in operations:
+            if operation['value'] is None:
+                self._rows.pop(operation['key'], None)
+            else:
+                row = Row(self.revision, operation['value'])
+                self._rows[operation['key']] = row
+        return []
+
+    def read(self, key: str) -> dict[str, Any] | None:
+        """Return a row as a JSON object, or None."""
+        row = self._rows.get(key)
+        if row is None:
+            return None
+        return {'revision': row.revision, 'value': row.value}
+
+    def scan(self, prefix: str, limit: int) -> list[dict[str, Any]]:
+        """Return the rows whose keys start with a prefix, in key order."""
+        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        return [{'key': key, 'row': self.read(key)} for key in keys[:limit]]
+
+    def _holds(self, operation: dict[str, Any]) -> bool:
+        expected = operation.get('expect')
+        if expected is None:
+            return True
+        row = self._rows.get(operation['key'], _ABSENT)
+        return row.revision == int(expected)
