Number the sendings of once-only requests and fuzz claims and shares

Cause: an entry instance that could not reach the table told a resend that it was not run, while the first sending could still be running elsewhere; and a sending that was held up could run after a later one was told not-run. Both break 'when a caller is told a request was not run, it was not run'.

Ruled out: asking all peers before saying not-run. A request that still sits in a socket of a paused instance is seen by no peer; only the claim row or the caller's own word that this is the first sending can tell.

Change: sendings carry x-request-attempt. A claim that did not run is replaced only by a higher number; a sending that is not the first one is told unknown where the table cannot tell. The claim steps and the share renewals moved into the core as pure protocols.

Before: the claim machine fails with 'ran after a caller was told not-run' when a claim may be replaced by any sending, and with a second run when a forgotten attempt counts as free; the share machine fails when leases lapse at once, are kept past their end, or count from after the write.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,16 @@
+"""Settings of all tests: the same verdict on every run."""
+
+import os
+
+from hypothesis import settings
+
+settings.register_profile(
+    'repeatable',
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+settings.register_profile('fuzz', deadline=None, database=None)
+settings.load_profile(
+    'fuzz' if os.environ.get('TAMARACKWAY_FUZZ') else 'repeatable',
+)
--- a/packages/bench/src/tamarackway_bench/fleet/_caller.py
+++ b/packages/bench/src/tamarackway_bench/fleet/_caller.py
@@ -93,13 +93,17 @@
         body: bytes,
         key: str = '',
         address: str = '',
+        attempt: int = 1,
     ) -> Reply:
         """Send a once-only request."""
         return await self.send(
             'POST',
             address or self.known[0],
             f'/v1/services/{service}/',
-            {'idempotency-key': key or str(uuid6.uuid7())},
+            {
+                'idempotency-key': key or str(uuid6.uuid7()),
+                'x-request-attempt': str(attempt),
+            },
             body,
         )
 
--- a/packages/core/src/tamarackway_core/errors/_refusals.py
+++ b/packages/core/src/tamarackway_core/errors/_refusals.py
@@ -21,6 +21,7 @@
     KEY_INVALID = 'key-invalid'
     KEY_EXPIRED = 'key-expired'
     KEY_REUSED = 'key-reused'
+    SETTLED = 'settled'
     STORE_UNAVAILABLE = 'store-unavailable'
     TARGET_SHED = 'target-shed'
     TARGET_UNREACHABLE = 'target-unreachable'
@@ -47,6 +48,7 @@
     Reason.KEY_INVALID: _NEW_KEY,
     Reason.KEY_EXPIRED: 'check by hand whether it ran; its key is too old',
     Reason.KEY_REUSED: 'use a new idempotency key for a different request',
+    Reason.SETTLED: 'send it again with a higher x-request-attempt',
     Reason.STORE_UNAVAILABLE: _RESEND,
     Reason.TARGET_SHED: _RESEND,
     Reason.TARGET_UNREACHABLE: _RESEND,
--- a/packages/core/src/tamarackway_core/once/_model.py
+++ b/packages/core/src/tamarackway_core/once/_model.py
@@ -9,7 +9,8 @@
 class Outcome(enum.StrEnum):
     """What the caller is told of a request.
 
-    ``NOT_RUN`` is a promise: no target ran it, and none will.
+    ``NOT_RUN`` is a promise: no target ran this sending or an earlier one of
+    the same request, and none will. A later sending may still run.
     """
 
     RAN = 'ran'
@@ -61,6 +62,7 @@
     :param claimant: name of the entry instance.
     :param incarnation: incarnation of the entry instance.
     :param digest: SHA-256 of the request.
+    :param attempt: number that the caller gave to this sending.
     :param state: state of the claim.
     :param status: HTTP status of the stored answer, or 0 without one.
     :param content_type: media type of the stored answer.
@@ -72,6 +74,7 @@
     claimant: str
     incarnation: str
     digest: str
+    attempt: int
     state: ClaimState
     status: int = 0
     content_type: str = ''
--- /dev/null
+++ b/packages/core/src/tamarackway_core/tests/fuzzing.py
@@ -0,0 +1,24 @@
+"""How long state machines run."""
+
+import os
+
+from hypothesis import HealthCheck, Phase, settings
+
+LONG = bool(os.environ.get('TAMARACKWAY_FUZZ'))
+FUZZING = settings(
+    max_examples=1500 if LONG else 100,
+    stateful_step_count=100 if LONG else 60,
+    deadline=None,
+    derandomize=not LONG,
+    suppress_health_check=list(HealthCheck),
+    database=None,
+)
+
+# Broken mechanisms need only be found, not shrunk.
+FINDING = settings(
+    FUZZING,
+    max_examples=400,
+    derandomize=True,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
--- /dev/null
+++ b/packages/core/src/tamarackway_core/tests/test_once_machine.py
@@ -0,0 +1,361 @@
+"""Fuzzes claims against an oracle that counts runs.
+
+Entry instances claim and dispatch requests of two keys through the real
+protocol and ledger. Writes are delayed, lost, or applied without an answer;
+instances are killed, and forget attempts that have ended.
+"""
+
+import itertools
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tamarackway_core.once import (
+    Answer,
+    AskClaimant,
+    Attempt,
+    Begin,
+    ClaimLedger,
+    ClaimProtocol,
+    ClaimRow,
+    ClaimState,
+    Command,
+    Dispatch,
+    Finish,
+    Outcome,
+    ReadRow,
+    RunResult,
+    Tell,
+    WaitFor,
+    WriteRow,
+    lost_claimant,
+)
+from tamarackway_core.tests.fuzzing import FINDING, FUZZING
+
+ENTRIES = ('e1', 'e2', 'e3')
+KEYS = ('k1', 'k2')
+PICK = st.integers(0, 1_000_000)
+REMEMBERED = 2
+
+
+@dataclass
+class Entry:
+    """An entry instance, which is replaced when it is killed."""
+
+    name: str
+    incarnation: str
+    ledger: ClaimLedger
+
+
+@dataclass
+class Sending:
+    """A request that a caller has sent to one entry instance."""
+
+    entry: Entry
+    key: str
+    digest: str
+    number: int
+    is_first: bool
+
+
+@dataclass
+class Run:
+    """An attempt that is under way."""
+
+    sending: Sending
+    attempt: Attempt
+    protocol: ClaimProtocol
+    command: Command
+    dispatched: bool = False
+    has_run: bool = False
+
+
+@dataclass
+class Record:
+    """An outcome that the entry instance still has to write."""
+
+    entry: Entry
+    key: str
+    claim: Dispatch
+    result: RunResult
+
+
+@dataclass
+class Table:
+    """Rows with revisions, and writes that arrive late."""
+
+    rows: dict[str, tuple[int, ClaimRow]] = field(default_factory=dict)
+    late: list[tuple[str, ClaimRow, int]] = field(default_factory=list)
+    revision: int = 0
+
+    def write(self, key: str, row: ClaimRow, expect: int) -> int | None:
+        """Write a row and return its revision, or None after a conflict."""
+        revision, _ = self.rows.get(key, (0, None))
+        if revision != expect:
+            return None
+        self.revision += 1
+        self.rows[key] = (self.revision, row)
+        return self.revision
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Sends, delays, loses and kills, and checks what callers are told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.numbers = itertools.count(1)
+        self.entries = {name: self.new_entry(name) for name in ENTRIES}
+        self.table = Table()
+        self.runs: list[Run] = []
+        self.waiting: list[tuple[Sending, str]] = []
+        self.records: list[Record] = []
+        self.sent: dict[str, int] = {}
+        self.ran: dict[str, str] = {}
+        self.told_not_run: dict[tuple[str, str], int] = {}
+
+    def new_entry(self, name: str) -> Entry:
+        incarnation = f'{name}/{next(self.numbers)}'
+        return Entry(name, incarnation, ClaimLedger(REMEMBERED))
+
+    @rule(
+        name=st.sampled_from(ENTRIES),
+        key=st.sampled_from(KEYS),
+        lazy=st.booleans(),
+        other_body=st.integers(0, 9),
+    )
+    def send(self, name: str, key: str, lazy: bool, other_body: int) -> None:
+        """Send a request; lazy callers give no number."""
+        self.sent[key] = self.sent.get(key, 0) + 1
+        number = 1 if lazy else self.sent[key]
+        is_first = number == 1 and not lazy and self.sent[key] == 1
+        digest = f'{key}-other' if other_body == 0 else f'{key}-body'
+        sending = Sending(self.entries[name], key, digest, number, is_first)
+        self.admit(sending)
+
+    @precondition(lambda self: self.waiting)
+    @rule(pick=PICK)
+    def wake(self, pick: int) -> None:
+        """Let a request that waits for another attempt ask again."""
+        sending, _ = self.waiting.pop(pick % len(self.waiting))
+        self.admit(sending)
+
+    @precondition(lambda self: self.runs)
+    @rule(pick=PICK, how=st.integers(0, 5))
+    def advance(self, pick: int, how: int) -> None:
+        """Carry out the next command of an attempt."""
+        run = self.runs[pick % len(self.runs)]
+        if isinstance(run.command, Dispatch):
+            self.run_at_target(run, how)
+            return
+        if isinstance(run.command, WriteRow):
+            self.write_claim(run, run.command, how)
+        elif isinstance(run.command, ReadRow):
+            self.read_claim(run, how)
+        elif isinstance(run.command, AskClaimant):
+            self.ask_claimant(run, run.command, how)
+        if isinstance(run.command, Finish):
+            self.end(run, run.command.result)
+
+    @precondition(lambda self: self.table.late)
+    @rule(pick=PICK)
+    def deliver_late_write(self, pick: int) -> None:
+        """Let a write take effect whose answer was given up."""
+        late = self.table.late
+        self.table.write(*late.pop(pick % len(late)))
+
+    @precondition(lambda self: self.records)
+    @rule(pick=PICK, how=st.integers(0, 2))
+    def record(self, pick: int, how: int) -> None:
+        """Write an outcome; the write may be lost before or after."""
+        record = self.records.pop(pick % len(self.records))
+        if how != 0:
+            row = replace(record.claim.row, state=ClaimState.FREE)
+            if record.result.answer is not None:
+                body = record.result.answer.body
+                row = replace(row, state=ClaimState.RAN, body=body)
+            self.table.write(record.key, row, record.claim.revision)
+        if how != 1:
+            self.records.append(record)
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def kill(self, name: str) -> None:
+        """Kill an entry instance and start it anew without memory."""
+        lost = self.entries[name]
+        self.entries[name] = self.new_entry(name)
+        self.runs = [run for run in self.runs if run.sending.entry != lost]
+        self.waiting = [
+            (sending, token)
+            for sending, token in self.waiting
+            if sending.entry != lost
+        ]
+        self.records = [
+            record for record in self.records if record.entry != lost
+        ]
+
+    def admit(self, sending: Sending) -> None:
+        ledger = sending.entry.ledger
+        step = ledger.admit(sending.key, sending.digest, sending.number)
+        if isinstance(step, Tell):
+            self.tell(sending, step.result)
+        elif isinstance(step, WaitFor):
+            self.waiting.append((sending, step.token))
+        else:
+            assert isinstance(step, Begin)
+            self.begin(sending)
+
+    def begin(self, sending: Sending) -> None:
+        token = f't{next(self.numbers)}'
+        attempt = Attempt(token, sending.digest, sending.number)
+        entry = sending.entry
+        entry.ledger.begin_claim(sending.key, attempt)
+        row = ClaimRow(
+            token,
+            entry.name,
+            entry.incarnation,
+            sending.digest,
+            sending.number,
+            ClaimState.CLAIMED,
+        )
+        protocol = ClaimProtocol(
+            row,
+            entry.ledger,
+            is_first=sending.is_first,
+        )
+        self.runs.append(Run(sending, attempt, protocol, protocol.start()))
+
+    def claim_row(self, run: Run) -> ClaimRow:
+        entry = run.sending.entry
+        return ClaimRow(
+            run.attempt.token,
+            entry.name,
+            entry.incarnation,
+            run.sending.digest,
+            run.sending.number,
+            ClaimState.CLAIMED,
+        )
+
+    def write_claim(self, run: Run, command: WriteRow, how: int) -> None:
+        key = run.sending.key
+        row = self.claim_row(run)
+        if how == 0:
+            run.command = run.protocol.on_failed('down', in_doubt=False)
+        elif how == 1:
+            self.table.late.append((key, row, command.expect))
+            run.command = run.protocol.on_failed('lost', in_doubt=True)
+        else:
+            revision = self.table.write(key, row, command.expect)
+            if how == 2:
+                run.command = run.protocol.on_failed('lost', in_doubt=True)
+            elif revision is None:
+                run.command = run.protocol.on_held(*self.look(key))
+            else:
+                run.command = run.protocol.on_written(revision)
+
+    def read_claim(self, run: Run, how: int) -> None:
+        revision, held = self.look(run.sending.key)
+        if how == 0 or held is None:
+            run.command = run.protocol.on_unread('down or absent')
+        else:
+            run.command = run.protocol.on_held(revision, held)
+
+    def look(self, key: str) -> tuple[int, ClaimRow | None]:
+        return self.table.rows.get(key, (0, None))
+
+    def ask_claimant(self, run: Run, command: AskClaimant, how: int) -> None:
+        claimant = self.entries[command.claimant]
+        if how == 0 or claimant.incarnation != command.incarnation:
+            run.command = run.protocol.on_told(lost_claimant())
+            return
+        told = claimant.ledger.testify(run.sending.key, command.token)
+        run.command = run.protocol.on_told(told)
+
+    def run_at_target(self, run: Run, how: int) -> None:
+        sending = run.sending
+        if not run.dispatched:
+            ledger = sending.entry.ledger
+            assert ledger.begin_run(sending.key, run.attempt.token)
+            run.dispatched = True
+        elif not run.has_run and how == 0:
+            self.end(run, RunResult(Outcome.NOT_RUN))
+        elif not run.has_run and how == 1:
+            self.end(run, RunResult(Outcome.UNKNOWN))
+        elif not run.has_run:
+            self.count_run(sending)
+            run.has_run = True
+        elif how == 0:
+            self.end(run, RunResult(Outcome.UNKNOWN))
+        else:
+            body = sending.digest.encode()
+            self.end(run, RunResult(Outcome.RAN, Answer(200, '', body)))
+
+    def count_run(self, sending: Sending) -> None:
+        assert sending.key not in self.ran, 'a second run'
+        barred = self.told_not_run.get((sending.key, sending.digest), 0)
+        assert sending.number > barred, 'ran after a caller was told not-run'
+        self.ran[sending.key] = sending.digest
+
+    def end(self, run: Run, result: RunResult) -> None:
+        sending = run.sending
+        self.runs.remove(run)
+        sending.entry.ledger.end(sending.key, run.attempt.token, result)
+        was_dispatched = isinstance(run.command, Dispatch)
+        if was_dispatched and result.outcome != Outcome.UNKNOWN:
+            claim = run.command
+            assert isinstance(claim, Dispatch)
+            self.records.append(
+                Record(sending.entry, sending.key, claim, result),
+            )
+        self.tell(sending, result)
+
+    def tell(self, sending: Sending, result: RunResult) -> None:
+        if result.outcome == Outcome.RAN:
+            assert self.ran.get(sending.key) == sending.digest
+            assert result.answer is not None
+            assert result.answer.body == sending.digest.encode()
+        elif result.outcome == Outcome.NOT_RUN:
+            assert self.ran.get(sending.key) != sending.digest
+            barred = (sending.key, sending.digest)
+            known = self.told_not_run.get(barred, 0)
+            self.told_not_run[barred] = max(known, sending.number)
+
+
+def test_once_machine() -> None:
+    run_state_machine_as_test(OnceMachine, settings=FUZZING)
+
+
+def _replace_always(self: ClaimProtocol) -> Command:
+    return WriteRow(self._revision)
+
+
+def _free_always(self: ClaimLedger, token: str) -> bool:
+    return bool(token)
+
+
+def _give_up_as_not_run(self: ClaimProtocol, problem: str) -> Command:
+    return Finish(RunResult(Outcome.NOT_RUN))
+
+
+@pytest.mark.parametrize(
+    ('broken', 'method', 'replacement'),
+    [
+        (ClaimProtocol, '_replace_or_settle', _replace_always),
+        (ClaimLedger, 'is_not_run', _free_always),
+        (ClaimProtocol, '_give_up', _give_up_as_not_run),
+    ],
+)
+def test_once_machine_finds_a_broken_mechanism(
+    broken: type,
+    method: str,
+    replacement: object,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(broken, method, replacement)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(OnceMachine, settings=FINDING)
--- /dev/null
+++ b/packages/core/src/tamarackway_core/tests/test_shares_machine.py
@@ -0,0 +1,189 @@
+"""Fuzzes leases on a cap against the sum of all shares in use.
+
+Entry instances with clocks of their own renew leases; renewals pause between
+their steps, race, lose answers and arrive late, and instances are replaced.
+"""
+
+import itertools
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tamarackway_core import limits
+from tamarackway_core.limits import (
+    LeaseObserver,
+    LeaseTable,
+    ShareHolder,
+    floor_share,
+    grant,
+)
+from tamarackway_core.tests.fuzzing import FINDING, FUZZING
+
+INSTANCES = 3
+CAP_PER_S = 90.0
+ROUNDING = 1e-6
+PICK = st.integers(0, 1_000_000)
+
+
+@dataclass
+class Instance:
+    """An entry instance with a monotonic clock of its own."""
+
+    holder: ShareHolder
+    offset_s: float
+
+
+@dataclass
+class Renewal:
+    """A renewal that has read the table and will write to it."""
+
+    instance: Instance
+    asked_s: float
+    proposal: LeaseTable
+    expect: int
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """Renews, delays, loses and replaces, and adds up the shares."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.names = itertools.count(1)
+        self.instances = [self.new_instance(0) for _ in range(INSTANCES)]
+        self.table = LeaseTable()
+        self.revision = 0
+        self.renewals: list[Renewal] = []
+        self.late: list[Renewal] = []
+
+    def new_instance(self, offset_s: float) -> Instance:
+        floor_per_s = floor_share(CAP_PER_S, INSTANCES)
+        holder = ShareHolder(
+            f'h{next(self.names)}',
+            CAP_PER_S,
+            floor_per_s,
+            self.now_s + offset_s,
+        )
+        return Instance(holder, offset_s)
+
+    def clock_s(self, instance: Instance) -> float:
+        return self.now_s + instance.offset_s
+
+    @rule(elapsed_s=st.sampled_from([0.1, 1, 4, 9, 12]))
+    def pass_time(self, elapsed_s: float) -> None:
+        """Let time pass, also for paused instances."""
+        self.now_s += elapsed_s
+
+    @rule(index=st.integers(0, INSTANCES - 1), wanted=st.integers(0, 500))
+    def begin_renewal(self, index: int, wanted: int) -> None:
+        """Read the table and propose leases."""
+        instance = self.instances[index]
+        for _ in range(wanted):
+            instance.holder.count()
+        asked_s = self.clock_s(instance)
+        proposal = instance.holder.propose(self.table, asked_s)
+        renewal = Renewal(instance, asked_s, proposal, self.revision)
+        self.renewals = [
+            other for other in self.renewals if other.instance is not instance
+        ]
+        self.renewals.append(renewal)
+
+    @precondition(lambda self: self.renewals)
+    @rule(pick=PICK, how=st.integers(0, 3))
+    def write_renewal(self, pick: int, how: int) -> None:
+        """Write a proposal; it may be lost, late or unanswered."""
+        renewal = self.renewals.pop(pick % len(self.renewals))
+        if how == 0:
+            self.late.append(renewal)
+        elif self.write(renewal) and how > 1:
+            renewal.instance.holder.confirm(renewal.asked_s)
+
+    @precondition(lambda self: self.late)
+    @rule(pick=PICK)
+    def deliver_late_write(self, pick: int) -> None:
+        """Let a write take effect whose answer was given up."""
+        self.write(self.late.pop(pick % len(self.late)))
+
+    @rule(
+        index=st.integers(0, INSTANCES - 1),
+        offset_s=st.sampled_from([0.0, -1000.0, 1000.0]),
+    )
+    def replace(self, index: int, offset_s: float) -> None:
+        """Kill an instance and start it anew with another clock."""
+        lost = self.instances[index]
+        self.renewals = [
+            renewal for renewal in self.renewals if renewal.instance is not lost
+        ]
+        self.instances[index] = self.new_instance(offset_s)
+
+    @invariant()
+    def shares_stay_under_the_cap(self) -> None:
+        total = sum(
+            instance.holder.share_per_s(self.clock_s(instance))
+            for instance in self.instances
+        )
+        assert total <= CAP_PER_S + ROUNDING
+
+    def write(self, renewal: Renewal) -> bool:
+        if renewal.expect != self.revision:
+            return False
+        self.revision += 1
+        self.table = renewal.proposal
+        return True
+
+
+def test_shares_machine() -> None:
+    run_state_machine_as_test(SharesMachine, settings=FUZZING)
+
+
+def _lapse_at_once(
+    self: LeaseObserver,
+    table: LeaseTable,
+    now_s: float,
+) -> frozenset[str]:
+    return frozenset(lease.holder for lease in table.leases)
+
+
+def _keep_share(self: ShareHolder, now_s: float) -> float:
+    return self._floor_per_s + self._leased_per_s
+
+
+def _confirm_late(self: ShareHolder, asked_s: float) -> None:
+    self._leased_per_s = self._proposed_per_s
+    self._lease_ends_s = asked_s + 3 * limits.LEASE_S
+
+
+@pytest.mark.parametrize(
+    ('broken', 'method', 'replacement'),
+    [
+        (LeaseObserver, 'observe', _lapse_at_once),
+        (ShareHolder, 'share_per_s', _keep_share),
+        (ShareHolder, 'confirm', _confirm_late),
+    ],
+)
+def test_shares_machine_finds_a_broken_mechanism(
+    broken: type,
+    method: str,
+    replacement: object,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(broken, method, replacement)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(SharesMachine, settings=FINDING)
+
+
+def test_a_holder_gives_way_to_others() -> None:
+    table = grant(LeaseTable(), 100, 'h1', 80, ())
+    table = grant(table, 100, 'h2', 40, ())
+    table = grant(table, 100, 'h1', 80, ())
+    table = grant(table, 100, 'h2', 40, ())
+    shares = {lease.holder: lease.share_per_s for lease in table.leases}
+    assert shares == {'h1': 25, 'h2': 25}
--- a/packages/entry/src/tamarackway_entry/callers/_answers.py
+++ b/packages/entry/src/tamarackway_entry/callers/_answers.py
@@ -20,6 +20,7 @@
     Reason.KEY_INVALID: 400,
     Reason.KEY_EXPIRED: 410,
     Reason.KEY_REUSED: 409,
+    Reason.SETTLED: 409,
     Reason.BODY_TOO_LARGE: 413,
     Reason.MALFORMED: 400,
     Reason.QUARANTINED: 422,
--- a/packages/entry/src/tamarackway_entry/callers/_app.py
+++ b/packages/entry/src/tamarackway_entry/callers/_app.py
@@ -5,7 +5,7 @@
 import anyio
 import uuid6
 from anyio.abc import TaskGroup
-from tamarackway_core.errors import Refusal
+from tamarackway_core.errors import Reason, Refusal
 from tamarackway_core.once import (
     Outcome,
     RunResult,
@@ -21,7 +21,12 @@
     send_json,
     send_result,
 )
-from tamarackway_entry.callers._parse import SERVICES_PREFIX, RequestParser
+from tamarackway_entry.callers._parse import (
+    ATTEMPT_HEADER,
+    SERVICES_PREFIX,
+    RequestParser,
+    read_headers,
+)
 from tamarackway_entry.decisions import DecisionLog
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.lifecycle import Lifecycle
@@ -128,7 +133,8 @@
         request = await self._parser.parse(scope, receive)
         close = self._lifecycle.is_leaving
         if isinstance(request, Refusal):
-            refused = RunResult(Outcome.NOT_RUN, refusal=request)
+            outcome = _outcome_of_refusal(scope)
+            refused = RunResult(outcome, refusal=request)
             self._count('-', refused, received_s)
             await send_result(send, refused, '-', close=close)
             return
@@ -147,7 +153,7 @@
                 self._clock.time_s(),
             )
             if isinstance(key, Refusal):
-                return RunResult(Outcome.NOT_RUN, refusal=key)
+                return _refuse_key(key)
             row_key = claim_row_key(request.rule.service, key)
             return await self._once.run_once(request, row_key)
         result = RunResult(Outcome.UNKNOWN)
@@ -205,6 +211,24 @@
             await send_json(send, _OK, {'status': 'ready'})
 
 
+def _outcome_of_refusal(scope: Message) -> Outcome:
+    """Return what a refusal without a claim says of the request.
+
+    A keyed request that may have been sent before may run elsewhere.
+    """
+    headers = read_headers(scope)
+    is_first = headers.get(ATTEMPT_HEADER) == '1'
+    if 'idempotency-key' in headers and not is_first:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
+
+
+def _refuse_key(refusal: Refusal) -> RunResult:
+    expired = refusal.reason == Reason.KEY_EXPIRED
+    outcome = Outcome.UNKNOWN if expired else Outcome.NOT_RUN
+    return RunResult(outcome, refusal=refusal)
+
+
 async def _cancel_when_gone(receive: Receive, group: TaskGroup) -> None:
     while True:
         message = await receive()
--- a/packages/entry/src/tamarackway_entry/callers/_parse.py
+++ b/packages/entry/src/tamarackway_entry/callers/_parse.py
@@ -15,6 +15,8 @@
 from tamarackway_entry.settings import InstanceSettings
 
 SERVICES_PREFIX: Final = '/v1/services/'
+ATTEMPT_HEADER: Final = 'x-request-attempt'
+_MAX_ATTEMPT: Final = 1_000_000
 _DEADLINE_HEADER: Final = 'x-request-deadline-ms'
 _REGION_HEADER: Final = 'x-tamarackway-region'
 _MS_PER_S: Final = 1000
@@ -75,10 +77,13 @@
         rule = rules.find_service(service)
         if rule is None:
             return _unknown_service(service, rules)
-        headers = _read_headers(scope)
+        headers = read_headers(scope)
         deadline_s = self._find_deadline_s(headers, rule)
         if isinstance(deadline_s, Refusal):
             return deadline_s
+        attempt = find_attempt(headers)
+        if isinstance(attempt, Refusal):
+            return attempt
         body = await read_body(headers, receive, self._max_body_bytes)
         if isinstance(body, Refusal):
             return body
@@ -91,6 +96,7 @@
             body,
             rule,
             deadline_s,
+            attempt,
         )
 
     def _build(
@@ -101,9 +107,10 @@
         body: bytes,
         rule: ServiceRule,
         deadline_s: float,
+        attempt: int | None,
     ) -> CallerRequest:
         request_id = f'{self._instance.name}-{uuid.uuid4()}'
-        home = headers.get(_REGION_HEADER, '')[:_MAX_NAME_LENGTH]
+        home = _read_region(headers)
         decision = Decision(
             request_id,
             rule.service,
@@ -127,6 +134,7 @@
             body=body,
             deadline_s=deadline_s,
             digest=digest_request(method, f'{rule.service}{path}', body),
+            attempt=attempt,
             decision=decision,
         )
 
@@ -145,6 +153,20 @@
         return self._clock.now_s() + allowed_s
 
 
+def find_attempt(headers: Headers) -> int | Refusal | None:
+    """Return the number of a sending, or None if the caller gives none.
+
+    :param headers: headers by lower-case name.
+    """
+    text = headers.get(ATTEMPT_HEADER)
+    if text is None:
+        return None
+    if not text.isdigit() or not 0 < int(text) <= _MAX_ATTEMPT:
+        problem = f'{ATTEMPT_HEADER} must be a number from 1'
+        return Refusal(Reason.MALFORMED, problem)
+    return int(text)
+
+
 async def read_body(
     headers: Headers,
     receive: Receive,
@@ -176,13 +198,19 @@
     return bytes(body)
 
 
-def _read_headers(scope: Message) -> Headers:
+def read_headers(scope: Message) -> Headers:
+    """Return the headers of a request by lower-case name."""
     return {
         name.decode('latin-1'): text.decode('latin-1')
         for name, text in scope['headers']
     }
 
 
+def _read_region(headers: Headers) -> str:
+    text = headers.get(_REGION_HEADER, '').encode('latin-1')
+    return text.decode(errors='replace')[:_MAX_NAME_LENGTH]
+
+
 def _unknown_service(service: str, rules: PlanRules) -> Refusal:
     shown = service[:_MAX_NAME_LENGTH]
     declared = ', '.join(rules.services)
--- a/packages/entry/src/tamarackway_entry/once/_claimer.py
+++ b/packages/entry/src/tamarackway_entry/once/_claimer.py
@@ -1,26 +1,27 @@
 """Claims a request in the table before it may be dispatched."""
 
-from dataclasses import dataclass
-from typing import Final
-
 from tamarackway_core.errors import Reason, Refusal
 from tamarackway_core.once import (
     Answer,
-    Blocked,
+    AskClaimant,
+    Attempt,
     ClaimLedger,
+    ClaimProtocol,
     ClaimRow,
     ClaimState,
-    Join,
+    Command,
+    Dispatch,
+    FetchAnswer,
+    Finish,
     Outcome,
-    Replay,
     RunResult,
-    decide_on_row,
+    WriteRow,
 )
 
 from tamarackway_entry.once._batcher import (
     ClaimBatcher,
-    Failed,
     Held,
+    WriteResult,
     Written,
 )
 from tamarackway_entry.once._joins import JoinService
@@ -28,28 +29,6 @@
 from tamarackway_entry.routes import CallerRequest
 from tamarackway_entry.telemetry import Metrics
 
-_MAX_ROUNDS: Final = 5
-_RETRY_AFTER_S: Final = 1
-
-
-@dataclass(frozen=True, slots=True)
-class Claimed:
-    """The row holds this attempt's claim, so it may be dispatched.
-
-    :param row: the claim.
-    :param revision: revision of the row.
-    """
-
-    row: ClaimRow
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Again:
-    """The row may be replaced if it still has this revision."""
-
-    revision: int
-
 
 class Claimer:
     """Claims requests.
@@ -87,114 +66,85 @@
         self,
         request: CallerRequest,
         key: str,
-        token: str,
-    ) -> Claimed | RunResult:
+        attempt: Attempt,
+        *,
+        is_first: bool,
+    ) -> Dispatch | RunResult:
         """Return the claim, or what the caller is told without one.
 
         :param request: the request.
         :param key: key of the claim row.
-        :param token: token of the attempt.
+        :param attempt: the attempt.
+        :param is_first: whether the caller says that it has not sent the
+            request before.
         """
         row = ClaimRow(
-            token,
+            attempt.token,
             self._instance,
             self._incarnation,
-            request.digest,
+            attempt.digest,
+            attempt.number,
             ClaimState.CLAIMED,
         )
-        step: Claimed | RunResult | _Again = _Again(0)
-        for _ in range(_MAX_ROUNDS):
-            if not isinstance(step, _Again):
-                break
-            step = await self._write(request, key, row, step.revision)
-        if isinstance(step, _Again):
-            step = _not_run('the claim changed too often')
-        self._count(step)
-        return step
-
-    async def _write(
-        self,
-        request: CallerRequest,
-        key: str,
-        row: ClaimRow,
-        expect: int,
-    ) -> Claimed | RunResult | _Again:
-        written = await self._batcher.write(key, row, expect)
-        if isinstance(written, Written):
-            return Claimed(row, written.revision)
-        if isinstance(written, Failed):
-            if not written.in_doubt:
-                return _not_run(written.problem)
-            return await self._resolve_doubt(request, key, row)
-        return await self._consider(request, key, row, written)
-
-    async def _resolve_doubt(
+        protocol = ClaimProtocol(row, self._ledger, is_first=is_first)
+        command = protocol.start()
+        while not isinstance(command, (Dispatch, Finish)):
+            command = await self._obey(command, protocol, request, key, row)
+        if isinstance(command, Dispatch):
+            self._metrics.claims.labels('claimed').inc()
+            return command
+        self._metrics.claims.labels(command.result.outcome).inc()
+        return command.result
+
+    async def _obey(
         self,
+        command: Command,
+        protocol: ClaimProtocol,
         request: CallerRequest,
         key: str,
         row: ClaimRow,
-    ) -> Claimed | RunResult | _Again:
+    ) -> Command:
+        if isinstance(command, WriteRow):
+            written = await self._batcher.write(key, row, command.expect)
+            return _report_write(protocol, written)
+        if isinstance(command, AskClaimant):
+            deadline_s = request.deadline_s
+            told = await self._joins.ask(key, command, deadline_s)
+            return protocol.on_told(told)
+        if isinstance(command, FetchAnswer):
+            return Finish(await self._fetch(command.row))
+        return await self._read(protocol, key)
+
+    async def _read(self, protocol: ClaimProtocol, key: str) -> Command:
         try:
             held = await self._batcher.read(key)
         except StoreUnavailableError as error:
-            return _not_run(error.problem)
+            return protocol.on_unread(error.problem)
         if held is None:
-            return _not_run('the claim was not written in time')
-        return await self._consider(request, key, row, held)
-
-    async def _consider(
-        self,
-        request: CallerRequest,
-        key: str,
-        row: ClaimRow,
-        held: Held,
-    ) -> Claimed | RunResult | _Again:
-        if held.row is None:
-            return _Again(0)
-        if held.row.token == row.token:
-            return Claimed(row, held.revision)
-        step = decide_on_row(held.row, request.digest, self._ledger)
-        result: RunResult | None = None
-        if isinstance(step, Replay):
-            result = await self._replay(held.row, step.result)
-        elif isinstance(step, Blocked):
-            result = RunResult(Outcome.NOT_RUN, refusal=step.refusal)
-        elif isinstance(step, Join):
-            result = await self._ask_claimant(request, key, step)
-        return result or _Again(held.revision)
+            return protocol.on_unread('the claim was not written in time')
+        return protocol.on_held(held.revision, held.row)
 
-    async def _ask_claimant(
-        self,
-        request: CallerRequest,
-        key: str,
-        step: Join,
-    ) -> RunResult | None:
-        """Return the claimant's result, or None if its attempt did not run."""
-        result = await self._joins.join(key, step, request.deadline_s)
-        return None if result.outcome == Outcome.NOT_RUN else result
-
-    async def _replay(self, row: ClaimRow, result: RunResult) -> RunResult:
-        if not row.object_key:
-            return result
+    async def _fetch(self, row: ClaimRow) -> RunResult:
         try:
             body = await self._objects.get(row.object_key)
         except StoreUnavailableError as error:
             return _unknown(error.problem)
         if body is None:
             return _unknown('its answer is no longer stored')
-        answer = Answer(row.status, row.content_type, body)
-        return RunResult(Outcome.RAN, answer)
-
-    def _count(self, step: Claimed | RunResult) -> None:
-        kind = 'claimed' if isinstance(step, Claimed) else step.outcome
-        self._metrics.claims.labels(kind).inc()
+        return RunResult(
+            Outcome.RAN,
+            Answer(row.status, row.content_type, body),
+        )
 
 
-def _not_run(problem: str) -> RunResult:
-    refusal = Refusal(Reason.STORE_UNAVAILABLE, problem, _RETRY_AFTER_S)
-    return RunResult(Outcome.NOT_RUN, refusal=refusal)
+def _report_write(protocol: ClaimProtocol, written: WriteResult) -> Command:
+    if isinstance(written, Written):
+        return protocol.on_written(written.revision)
+    if isinstance(written, Held):
+        return protocol.on_held(written.revision, written.row)
+    return protocol.on_failed(written.problem, in_doubt=written.in_doubt)
 
 
 def _unknown(problem: str) -> RunResult:
-    refusal = Refusal(Reason.STORE_UNAVAILABLE, problem, _RETRY_AFTER_S)
+    refusal = Refusal(Reason.STORE_UNAVAILABLE, problem, 1)
     return RunResult(Outcome.UNKNOWN, refusal=refusal)
--- a/packages/entry/src/tamarackway_entry/once/_joins.py
+++ b/packages/entry/src/tamarackway_entry/once/_joins.py
@@ -3,12 +3,9 @@
 from typing import Final
 
 import anyio
-from tamarackway_core.errors import Reason, Refusal
 from tamarackway_core.once import (
-    AttemptState,
+    AskClaimant,
     ClaimLedger,
-    Join,
-    Outcome,
     RunResult,
     lost_claimant,
 )
@@ -72,30 +69,30 @@
         self._clock = clock
         peers.handle(JoinRequest, self._answer)
 
-    async def join(
+    async def ask(
         self,
         row_key: str,
-        step: Join,
+        command: AskClaimant,
         deadline_s: float,
     ) -> RunResult:
         """Return the claimant's word on a request.
 
         :param row_key: key of the claim row.
-        :param step: names the claimant.
+        :param command: names the claimant.
         :param deadline_s: monotonic time by which to answer.
         """
         remaining_s = max(deadline_s - self._clock.now_s(), 0)
         request = JoinRequest(
             row_key,
-            step.token,
-            step.incarnation,
+            command.token,
+            command.incarnation,
             remaining_s,
         )
-        if step.incarnation == self._incarnation:
-            return await self._find_claimed(request)
+        if command.incarnation == self._incarnation:
+            return await self._testify(request)
         try:
             reply = await self._peers.ask(
-                step.claimant,
+                command.claimant,
                 request,
                 remaining_s + _HOP_S,
             )
@@ -105,6 +102,15 @@
             return reply.run
         return lost_claimant()
 
+    async def wait(self, token: str, deadline_s: float) -> None:
+        """Wait until an attempt of this instance has ended.
+
+        :param token: token of the attempt.
+        :param deadline_s: monotonic time by which to give up.
+        """
+        wait_s = max(deadline_s - self._clock.now_s(), 0)
+        await self._watch.wait(token, wait_s)
+
     async def follow(
         self,
         row_key: str,
@@ -117,28 +123,15 @@
         :param token: token of the attempt.
         :param deadline_s: monotonic time by which to answer.
         """
-        wait_s = max(deadline_s - self._clock.now_s(), 0)
-        await self._watch.wait(token, wait_s)
-        return self._recall(row_key, token)
+        await self.wait(token, deadline_s)
+        return self._ledger.recall(row_key, token)
 
     async def _answer(self, request: JoinRequest) -> Message:
-        return JoinReply(await self._find_claimed(request))
+        return JoinReply(await self._testify(request))
 
-    async def _find_claimed(self, request: JoinRequest) -> RunResult:
+    async def _testify(self, request: JoinRequest) -> RunResult:
         if request.incarnation != self._incarnation:
             return lost_claimant()
         wait_s = min(request.timeout_s, _MAX_WAIT_S)
         await self._watch.wait(request.token, wait_s)
-        if self._ledger.is_not_run(request.token):
-            refusal = Refusal(Reason.TARGET_UNREACHABLE, 'not run before')
-            return RunResult(Outcome.NOT_RUN, refusal=refusal)
-        return self._recall(request.row_key, request.token)
-
-    def _recall(self, row_key: str, token: str) -> RunResult:
-        attempt = self._ledger.find(row_key)
-        if attempt is None or attempt.token != token:
-            return lost_claimant()
-        if attempt.state != AttemptState.ENDED or attempt.result is None:
-            refusal = Refusal(Reason.DEADLINE, 'the request still runs', 1)
-            return RunResult(Outcome.UNKNOWN, refusal=refusal)
-        return attempt.result
+        return self._ledger.testify(request.row_key, request.token)
--- a/packages/entry/src/tamarackway_entry/once/_recorder.py
+++ b/packages/entry/src/tamarackway_entry/once/_recorder.py
@@ -5,10 +5,14 @@
 from typing import Final
 
 import anyio
-from tamarackway_core.once import ClaimState, Outcome, RunResult
+from tamarackway_core.once import (
+    ClaimState,
+    Dispatch,
+    Outcome,
+    RunResult,
+)
 
 from tamarackway_entry.once._batcher import ClaimBatcher, Failed
-from tamarackway_entry.once._claimer import Claimed
 from tamarackway_entry.platform import ObjectStore, StoreUnavailableError
 from tamarackway_entry.telemetry import part_logger
 
@@ -22,7 +26,7 @@
 @dataclass(frozen=True, slots=True)
 class _Record:
     row_key: str
-    claim: Claimed
+    claim: Dispatch
     result: RunResult
 
 
@@ -51,7 +55,7 @@
     def record(
         self,
         row_key: str,
-        claim: Claimed,
+        claim: Dispatch,
         result: RunResult,
     ) -> None:
         """Write an outcome soon.
--- a/packages/entry/src/tamarackway_entry/once/_runner.py
+++ b/packages/entry/src/tamarackway_entry/once/_runner.py
@@ -11,14 +11,17 @@
     Answer,
     Attempt,
     ClaimLedger,
+    Dispatch,
     Outcome,
     RunResult,
+    Tell,
+    WaitFor,
 )
 from tamarackway_core.routing import Choice, Verdict
 
 from tamarackway_entry.http import HttpError, LostError, NotSentError
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.once._claimer import Claimed, Claimer
+from tamarackway_entry.once._claimer import Claimer
 from tamarackway_entry.once._joins import JoinService, RunWatch
 from tamarackway_entry.once._recorder import OutcomeRecorder
 from tamarackway_entry.routes import CallerRequest, RouteService
@@ -93,56 +96,63 @@
         if self._routes.is_quarantined(request):
             refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
             return RunResult(Outcome.UNKNOWN, refusal=refusal)
-        known = self._ledger.find(key)
-        if known is not None and known.digest != request.digest:
-            return _refuse(Reason.KEY_REUSED, 'another request has this key')
-        if known is not None and not self._ledger.is_not_run(known.token):
-            return await self._follow(request, key, known)
-        return await self._attempt(request, key)
-
-    async def _follow(
+        number = request.attempt or 1
+        step = self._ledger.admit(key, request.digest, number)
+        while isinstance(step, WaitFor):
+            await self._joins.wait(step.token, request.deadline_s)
+            if self._clock.now_s() >= request.deadline_s:
+                refusal = Refusal(Reason.DEADLINE, 'the request still runs', 1)
+                return RunResult(Outcome.UNKNOWN, refusal=refusal)
+            step = self._ledger.admit(key, request.digest, number)
+        if isinstance(step, Tell):
+            return step.result
+        return await self._attempt(request, key, number)
+
+    async def _attempt(
         self,
         request: CallerRequest,
         key: str,
-        known: Attempt,
+        number: int,
     ) -> RunResult:
-        request.decision.note(
-            self._clock.now_s(),
-            'a resend: this instance has the request already',
-        )
-        return await self._joins.follow(key, known.token, request.deadline_s)
-
-    async def _attempt(self, request: CallerRequest, key: str) -> RunResult:
-        token = str(uuid.uuid4())
+        attempt = Attempt(str(uuid.uuid4()), request.digest, number)
         if self._group is None:
             return _refuse(Reason.STOPPING, 'the instance is starting')
-        self._ledger.begin_claim(key, token, request.digest)
-        self._watch.begin(token)
-        self._group.start_soon(self._carry_out, request, key, token)
-        return await self._joins.follow(key, token, request.deadline_s)
+        self._ledger.begin_claim(key, attempt)
+        self._watch.begin(attempt.token)
+        self._group.start_soon(self._carry_out, request, key, attempt)
+        return await self._joins.follow(
+            key,
+            attempt.token,
+            request.deadline_s,
+        )
 
     async def _carry_out(
         self,
         request: CallerRequest,
         key: str,
-        token: str,
+        attempt: Attempt,
     ) -> None:
         result = RunResult(
             Outcome.UNKNOWN,
             refusal=Refusal(Reason.TARGET_LOST, 'the run was broken off'),
         )
-        claim: Claimed | RunResult | None = None
+        claim: Dispatch | RunResult | None = None
         self._under_way += 1
         try:
             with self._tracing.start('claim', request.headers):
-                claim = await self._claims.claim(request, key, token)
-            if isinstance(claim, Claimed):
-                result = await self._dispatch(request, key, token)
+                claim = await self._claims.claim(
+                    request,
+                    key,
+                    attempt,
+                    is_first=request.attempt == 1,
+                )
+            if isinstance(claim, Dispatch):
+                result = await self._dispatch(request, key, attempt.token)
             else:
                 result = claim
         finally:
-            self._end(key, token, result)
-        if isinstance(claim, Claimed):
+            self._end(key, attempt.token, result)
+        if isinstance(claim, Dispatch):
             self._recorder.record(key, claim, result)
 
     def _end(self, key: str, token: str, result: RunResult) -> None:
--- a/packages/entry/src/tamarackway_entry/routes/_request.py
+++ b/packages/entry/src/tamarackway_entry/routes/_request.py
@@ -21,6 +21,7 @@
     :param body: all bytes of the body.
     :param deadline_s: monotonic time by which the answer must be there.
     :param digest: SHA-256 of method, path and body.
+    :param attempt: number that the caller gave to this sending, or None.
     :param decision: collects the steps for explanations.
     """
 
@@ -33,6 +34,7 @@
     body: bytes
     deadline_s: float
     digest: str
+    attempt: int | None
     decision: Decision
 
     def to_target(self, remaining_s: float) -> HttpRequest:
--- a/packages/entry/src/tamarackway_entry/shares/_service.py
+++ b/packages/entry/src/tamarackway_entry/shares/_service.py
@@ -6,12 +6,10 @@
 import anyio
 import msgspec
 from tamarackway_core.limits import (
-    LEASE_S,
-    LeaseObserver,
     LeaseTable,
     ShareBucket,
+    ShareHolder,
     floor_share,
-    grant,
 )
 from tamarackway_core.sheet import PlanRow, RowKind
 
@@ -28,24 +26,17 @@
 
 _RENEW_S: Final = 3.0
 _TICK_S: Final = 0.5
-_HEADROOM: Final = 1.3
-_LEAST_WANTED_PER_S: Final = 1.0
 _KEY_PREFIX: Final = 'shares/'
 
 
 class _Cap:
     """One capacity row, with the share of it that this instance has."""
 
-    def __init__(self, row: PlanRow, floor_per_s: float, now_s: float) -> None:
+    def __init__(self, row: PlanRow, holder: ShareHolder, now_s: float) -> None:
         self.row = row
-        self.floor_per_s = floor_per_s
-        self.leased_per_s: float = 0
-        self.lease_ends_s = now_s
+        self.holder = holder
         self.renew_s = now_s
-        self.bucket = ShareBucket(floor_per_s, now_s)
-        self.observer = LeaseObserver()
-        self.asked = 0
-        self.counted_s = now_s
+        self.bucket = ShareBucket(holder.share_per_s(now_s), now_s)
 
     @property
     def key(self) -> str:
@@ -54,18 +45,7 @@
 
     def apply(self, now_s: float) -> None:
         """Set the bucket to the share that holds now."""
-        leased_per_s: float = 0
-        if now_s < self.lease_ends_s:
-            leased_per_s = self.leased_per_s
-        self.bucket.set_share(self.floor_per_s + leased_per_s, now_s)
-
-    def take_wanted_per_s(self, now_s: float) -> float:
-        """Return the share that recent requests would need."""
-        elapsed_s = max(now_s - self.counted_s, _TICK_S)
-        wanted_per_s = self.asked / elapsed_s * _HEADROOM
-        self.asked = 0
-        self.counted_s = now_s
-        return max(wanted_per_s, _LEAST_WANTED_PER_S)
+        self.bucket.set_share(self.holder.share_per_s(now_s), now_s)
 
 
 class ShareService:
@@ -127,7 +107,7 @@
             if subject in self._caps
         ]
         for cap in caps:
-            cap.asked += 1
+            cap.holder.count()
             cap.apply(now_s)
             if not cap.bucket.take(now_s):
                 return cap.row
@@ -150,49 +130,37 @@
     def _adjust(self, known: _Cap | None, row: PlanRow, now_s: float) -> _Cap:
         floor_per_s = floor_share(row.amount, self._max_instances)
         if known is None:
-            return _Cap(row, floor_per_s, now_s)
-        shrinkage = min(row.amount / max(known.row.amount, 1), 1)
-        known.leased_per_s *= shrinkage
+            holder = ShareHolder(
+                self._holder,
+                row.amount,
+                floor_per_s,
+                now_s,
+            )
+            return _Cap(row, holder, now_s)
         known.row = row
-        known.floor_per_s = floor_per_s
+        known.holder.change_cap(row.amount, floor_per_s)
         known.renew_s = now_s
         known.apply(now_s)
         return known
 
     async def _renew(self, cap: _Cap) -> None:
         asked_s = self._clock.now_s()
-        wanted_per_s = cap.take_wanted_per_s(asked_s)
         try:
-            share_per_s = await self._lease(cap, wanted_per_s)
+            confirmed = await self._lease(cap)
         except (StoreUnavailableError, StoreInDoubtError):
             return
-        if share_per_s is not None:
-            cap.leased_per_s = share_per_s
-            cap.lease_ends_s = asked_s + LEASE_S
-
-    async def _lease(self, cap: _Cap, wanted_per_s: float) -> float | None:
-        """Return the share that was granted, or None after a lost race.
+        if confirmed:
+            cap.holder.confirm(asked_s)
 
-        A smaller share holds from before the row is written, a larger one
-        only once the table has confirmed it.
-        """
+    async def _lease(self, cap: _Cap) -> bool:
         row = (await self._table.read([cap.key]))[0]
         leases = msgspec.convert(row.value or {}, LeaseTable)
-        expired = cap.observer.observe(leases, self._clock.now_s())
-        granted = grant(
-            leases,
-            cap.row.amount,
-            self._holder,
-            wanted_per_s,
-            expired,
-        )
-        own = granted.find(self._holder)
-        share_per_s = own.share_per_s if own else 0
-        cap.leased_per_s = min(cap.leased_per_s, share_per_s)
-        cap.apply(self._clock.now_s())
-        write = Operation(cap.key, asdict(granted), row.revision)
+        now_s = self._clock.now_s()
+        proposed = cap.holder.propose(leases, now_s)
+        cap.apply(now_s)
+        write = Operation(cap.key, asdict(proposed), row.revision)
         committed = await self._table.transact([write])
-        return share_per_s if isinstance(committed, Committed) else None
+        return isinstance(committed, Committed)
 
     def _report(self, cap: _Cap) -> None:
         gauge = self._metrics.shares.labels(cap.row.region, cap.row.service)
