--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/figures/__init__.py
@@ -0,0 +1,8 @@
+"""Figures of the policy and of an entry instance's own cost."""
+
+from tamarackway_bench.figures._figure import Figure as Figure
+from tamarackway_bench.figures._figure import print_figures as print_figures
+from tamarackway_bench.figures._policy import measure_policy as measure_policy
+from tamarackway_bench.figures._processes import (
+    measure_processes as measure_processes,
+)
--- a/packages/bench/src/tamarackway_bench/fleet/_fleet.py
+++ b/packages/bench/src/tamarackway_bench/fleet/_fleet.py
@@ -280,7 +280,8 @@
             }
             for node in self.layout.list_nodes()
         ]
-        await fetch('PUT', self.layout.links, '/relays', relays)
+        if not spec.direct:
+            await fetch('PUT', self.layout.links, '/relays', relays)
 
     def _start_standin(
         self,
--- a/packages/bench/src/tamarackway_bench/fleet/_layout.py
+++ b/packages/bench/src/tamarackway_bench/fleet/_layout.py
@@ -1,6 +1,6 @@
 """Addresses and places of the processes of a fleet."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from tamarackway_bench.fleet._processes import FreePorts
@@ -114,6 +114,8 @@
             )
             for name in PLATFORM
         }
+        if spec.direct:
+            self._bypass_relays()
         self.links = f'{_RELAY_HOST}:{self._ports.find(_RELAY_HOST)}'
 
     def list_nodes(self) -> list[Node]:
@@ -132,6 +134,23 @@
             for position, domain in enumerate(DOMAINS, 1)
         }
 
+    def _bypass_relays(self) -> None:
+        self.entries = [
+            EntryNode(
+                _bypass(entry.callers),
+                _bypass(entry.peers),
+                entry.admin,
+            )
+            for entry in self.entries
+        ]
+        self.targets = [
+            replace(target, node=_bypass(target.node))
+            for target in self.targets
+        ]
+        self.platform = {
+            name: _bypass(node) for name, node in self.platform.items()
+        }
+
     def _place_entry(self, index: int) -> EntryNode:
         region = self.spec.regions[index % len(self.spec.regions)]
         number = index // len(self.spec.regions) + 1
@@ -158,3 +177,7 @@
 
     def _find_relay(self) -> str:
         return f'{_RELAY_HOST}:{self._ports.find(_RELAY_HOST)}'
+
+
+def _bypass(node: Node) -> Node:
+    return replace(node, relay=node.address)
--- a/packages/bench/src/tamarackway_bench/fleet/_processes.py
+++ b/packages/bench/src/tamarackway_bench/fleet/_processes.py
@@ -1,5 +1,6 @@
 """Starts, pauses and ends processes."""
 
+import os
 import signal
 import socket
 import subprocess  # ruff: ignore[suspicious-subprocess-import]
@@ -11,6 +12,9 @@
 
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20.0
+_FIRST_PORT: Final = 10_000
+_PORTS: Final = 20_000
+_STRIDE: Final = 401
 
 
 class Processes:
@@ -85,27 +89,31 @@
 
 
 class FreePorts:
-    """Finds ports that nothing listens on, each once."""
+    """Finds ports that nothing listens on, each once.
+
+    The ports are below those that the system gives to outgoing connections.
+    """
 
     def __init__(self) -> None:
-        """Start without known ports."""
-        self._found: set[int] = set()
+        """Start at a port that differs between processes."""
+        self._next = _FIRST_PORT + os.getpid() * _STRIDE % _PORTS
 
     def find(self, host: str) -> int:
         """Return a port that nothing listens on.
 
         :param host: IP number.
         """
-        port = _bind_any(host)
-        while port in self._found:
-            port = _bind_any(host)
-        self._found.add(port)
-        return port
+        self._next += 1
+        while not _is_free(host, self._next):
+            self._next += 1
+        return self._next
 
 
-def _bind_any(host: str) -> int:
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
--- a/packages/bench/src/tamarackway_bench/fleet/_spec.py
+++ b/packages/bench/src/tamarackway_bench/fleet/_spec.py
@@ -30,6 +30,7 @@
     :param entries: number of entry instances.
     :param domain_ms: one-way delay between failure domains of a region.
     :param region_ms: one-way delay between regions.
+    :param direct: connect processes directly, without relays and delays.
     """
 
     sheet: str
@@ -38,6 +39,7 @@
     entries: int
     domain_ms: float
     region_ms: float
+    direct: bool = False
 
 
 SKALNI: Final = FleetSpec(
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/sim/__init__.py
@@ -0,0 +1,7 @@
+"""The real decision code under simulated time, with fakes of targets."""
+
+from tamarackway_bench.sim._experiment import Experiment as Experiment
+from tamarackway_bench.sim._experiment import Policy as Policy
+from tamarackway_bench.sim._experiment import Slowness as Slowness
+from tamarackway_bench.sim._results import Results as Results
+from tamarackway_bench.sim._run import run_experiment as run_experiment
--- a/packages/bench/src/tamarackway_bench/tests/__init__.py
+++ b/packages/bench/src/tamarackway_bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios through real processes."""
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/tests/steps_interfaces.py
@@ -0,0 +1,157 @@
+"""Steps about bad input, strangers and explanations."""
+
+import os
+import socket
+from pathlib import Path
+
+import anyio
+from pytest_bdd import parsers, then, when
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
+from tamarackway_bench.fleet._settings import render_settings
+from tamarackway_bench.tests.world import LOOK_UP, REPORT, World
+
+NONCE_BYTES = 32
+OLD_KEY = '01700000-0000-7000-8000-000000000000'
+
+
+@when(parsers.parse('a bad request is sent: {kind}'))
+def send_bad(world: World, kind: str) -> None:
+    look_up = f'/v1/services/{LOOK_UP}/x'
+    report = f'/v1/services/{REPORT}/x'
+    requests: dict[str, tuple[str, str, dict[str, str], bytes]] = {
+        'unknown service': ('GET', '/v1/services/none/x', {}, b''),
+        'unknown path': ('GET', '/v1/none', {}, b''),
+        'large body': ('POST', look_up, {}, b'x' * 2_000_000),
+        'bad deadline': (
+            'GET',
+            look_up,
+            {'x-request-deadline-ms': 'soon'},
+            b'',
+        ),
+        'report, no key': ('POST', report, {}, b''),
+        'report, bad key': ('POST', report, {'idempotency-key': 'x'}, b''),
+        'report, old key': (
+            'POST',
+            report,
+            {'idempotency-key': OLD_KEY},
+            b'',
+        ),
+    }
+    method, path, headers, body = requests[kind]
+    world.send(world.address(1), path, method, headers, body)
+
+
+@when("a stranger sends garbage to the peers' address")
+def send_garbage(world: World) -> None:
+    entry = world.fleet.layout.entries[0]
+    for payload in (b'\x00' * 100, os.urandom(1000), b'GET / HTTP/1.1\r\n\r\n'):
+        with socket.create_connection((
+            entry.peers.host,
+            entry.peers.port,
+        )) as s:
+            s.sendall(payload)
+
+
+@when("a stranger connects to the peers' address without a key")
+def connect_without_key(world: World) -> None:
+    entry = world.fleet.layout.entries[0]
+    world.notes['frames'] = world.call(_talk_as_stranger, entry.peers.address)
+
+
+@then('the stranger learnt nothing')
+def learnt_nothing(world: World) -> None:
+    frames = world.notes['frames']
+    assert [len(frame) for frame in frames] == [NONCE_BYTES]
+
+
+@then('the log tells of the stranger')
+def log_tells(world: World) -> None:
+    assert 'peers: A stranger' in world.fleet.read_log(world.name(1))
+
+
+@when('the plan is asked for with a wrong token')
+def wrong_token(world: World) -> None:
+    headers = {'authorization': 'Bearer wrong'}
+    world.send(world.admin(), '/v1/plan', 'GET', headers)
+
+
+@then('callers do not reach the administration')
+def callers_kept_out(world: World) -> None:
+    headers = {'authorization': f'Bearer {world.fleet.token}'}
+    for path in ('/v1/plan', '/v1/status', '/metrics'):
+        reply = world.send(world.address(1), path, 'GET', headers)
+        assert reply.status == 404
+
+
+@then(
+    parsers.parse('the last reply has status {status:d} and error {error}'),
+)
+def has_error(world: World, status: int, error: str) -> None:
+    document = world.last.document()
+    assert (world.last.status, document['error']) == (status, error)
+    assert document['remedy']
+
+
+@when('an entry instance is started without platform and peers')
+def start_alone(world: World) -> None:
+    layout = world.fleet.layout
+    world.call(world.fleet.kill, world.name(6))
+    entry = layout.entries[5]
+    text = render_settings(layout, entry)
+    for node in layout.platform.values():
+        text = text.replace(node.relay, '127.0.0.1:9')
+    lines = [line for line in text.splitlines() if 'seeds' not in line]
+    path = Path(world.folder / 'alone.toml')
+    path.write_text('\n'.join(lines), encoding='utf-8')
+    processes = world.fleet._processes  # ruff: ignore[private-member-access]
+    processes.start(
+        entry.name,
+        'tamarackway_entry',
+        [
+            'run',
+            '--settings',
+            str(path),
+        ],
+    )
+
+
+@then('it is not ready and says why')
+def not_ready(world: World) -> None:
+    address = world.fleet.layout.entries[5].callers.address
+    world.wait_until(lambda: world.send(address, '/livez').status == 200, 10)
+    reply = world.send(address, '/readyz')
+    assert reply.status == 503
+    assert 'no plan was learnt' in reply.document()['detail']
+    refused = world.send(address, f'/v1/services/{LOOK_UP}/x')
+    assert refused.document()['error'] == 'no-plan'
+
+
+@when(parsers.parse('a look-up is sent to entry instance {number:d}'))
+def send_look_up(world: World, number: int) -> None:
+    world.send(world.address(number), f'/v1/services/{LOOK_UP}/x')
+
+
+@then('another entry instance explains it with the rows of the sheet')
+def explained(world: World) -> None:
+    told = world.ctl('explain', world.last.request_id, entry=4)
+    assert told.returncode == 0, told.stderr
+    assert 'row status-lookup: lookup status-lookup 2000 ms' in told.stdout
+    assert 'may be served from' in told.stdout
+
+
+async def _talk_as_stranger(address: str) -> list[bytes]:
+    frames: list[bytes] = []
+    async with connect(f'ws://{address}/', proxy=None) as connection:
+        await connection.send(os.urandom(NONCE_BYTES))
+        await connection.send(os.urandom(NONCE_BYTES))
+        try:
+            with anyio.move_on_after(5):
+                while True:
+                    frame = await connection.recv()
+                    assert isinstance(frame, bytes)
+                    frames.append(frame)
+        except ConnectionClosed:
+            return frames
+    return frames
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/tests/steps_targets.py
@@ -0,0 +1,125 @@
+"""Steps about look-ups and targets."""
+
+import time
+
+from pytest_bdd import given, parsers, then, when
+
+from tamarackway_bench.tests.loads import LookUp
+from tamarackway_bench.tests.world import LOOK_UP, World
+
+ANSWERED = 200
+
+
+@given(parsers.parse('target {number:d} of status-lookup crosses its answers'))
+def cross(world: World, number: int) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    world.set_faults(target.name, crossed=True)
+
+
+@given(
+    parsers.parse('target {number:d} of status-lookup truncates its answers'),
+)
+def truncate(world: World, number: int) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    world.set_faults(target.name, truncated=True)
+
+
+@when('look-ups are counted anew')
+def count_anew(world: World) -> None:
+    world.notes['since_s'] = time.monotonic()
+
+
+@when('a poisonous look-up is sent to each entry instance in turn')
+def poison(world: World) -> None:
+    path = f'/v1/services/{LOOK_UP}/x?poison'
+    for number in range(1, len(world.fleet.layout.entries) + 1):
+        world.send(world.address(number), path)
+
+
+@when(
+    parsers.parse('target {number:d} of status-lookup is leaving by {word}'),
+)
+def leave(world: World, number: int, word: str) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    if word == 'the sheet':
+        drained = world.ctl('drain', target.name)
+        assert drained.returncode == 0, drained.stderr
+    elif word == 'the list':
+        world.call(world.fleet.list_target, target, 'leaving')
+    else:
+        world.set_faults(target.name, leaving=True)
+
+
+@then(parsers.parse('target {number:d} of status-lookup gets no new work'))
+def no_new_work(world: World, number: int) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    before = world.fetch(target.node.address, '/health')['runs']
+    time.sleep(2)
+    after = world.fetch(target.node.address, '/health')['runs']
+    assert after == before
+
+
+@then('every look-up was answered')
+def all_answered(world: World) -> None:
+    failed = [
+        (look_up.region, look_up.reply)
+        for look_up in _look_ups(world)
+        if look_up.reply.status != ANSWERED
+    ]
+    assert not failed, (len(failed), len(_look_ups(world)), failed[:3])
+    assert len(_look_ups(world)) > 50
+
+
+@then(parsers.parse('every look-up from outside {region} was answered'))
+def all_answered_outside(world: World, region: str) -> None:
+    since_s = world.notes['since_s']
+    counted = [
+        look_up
+        for look_up in _look_ups(world)
+        if look_up.region != region and look_up.sent_s >= since_s
+    ]
+    failed = [
+        look_up.reply for look_up in counted if look_up.reply.status != ANSWERED
+    ]
+    assert not failed, (len(failed), len(counted), failed[:3])
+    assert len(counted) > 50
+
+
+@then(parsers.parse('at least {count:d} look-ups were answered'))
+def enough_answered(world: World, count: int) -> None:
+    answered = [
+        look_up
+        for look_up in _look_ups(world)
+        if look_up.reply.status == ANSWERED
+    ]
+    assert len(answered) >= count
+
+
+@then('every answer belongs to its own request')
+def own_answers(world: World) -> None:
+    for look_up in _look_ups(world):
+        if look_up.reply.status == ANSWERED:
+            document = look_up.reply.document()
+            assert document['path'] == f'/{look_up.path}'
+            assert document['request_id'] == look_up.reply.request_id
+
+
+@then(parsers.parse('at most {count:d} targets of status-lookup died'))
+def few_died(world: World, count: int) -> None:
+    dead = [
+        target.name
+        for target in world.fleet.targets(LOOK_UP)
+        if not world.fleet.is_running(target.name)
+    ]
+    assert 0 < len(dead) <= count, dead
+
+
+@then('an ordinary look-up is answered')
+def ordinary(world: World) -> None:
+    reply = world.send(world.address(2), f'/v1/services/{LOOK_UP}/x')
+    assert reply.status == ANSWERED, reply
+
+
+def _look_ups(world: World) -> list[LookUp]:
+    world.stop_loads()
+    return list(world.look_ups.look_ups) if world.look_ups else []
--- /dev/null
+++ b/packages/bench/src/tamarackway_bench/tests/test_scenarios.py
@@ -0,0 +1,5 @@
+"""Binds the scenarios to their steps."""
+
+from pytest_bdd import scenarios
+
+scenarios('features')
--- a/packages/core/src/tamarackway_core/membership/_view.py
+++ b/packages/core/src/tamarackway_core/membership/_view.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from tamarackway_core.places import Instance, State
+from tamarackway_core.quarantine import Loss
 
 DEAD_AFTER_S: Final = 2.0
 _FORGET_AFTER_S: Final = 60.0
@@ -24,6 +25,7 @@
     :param in_flight: requests in flight there by service.
     :param leaving: ``name/incarnation`` of targets that told it that they
         are leaving.
+    :param losses: recent losses of targets that it knows of.
     """
 
     instance: Instance
@@ -33,6 +35,7 @@
     requests_per_s: float = 0
     in_flight: Mapping[str, int] = field(default_factory=lambda: _NO_LOAD)
     leaving: tuple[str, ...] = ()
+    losses: tuple[Loss, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarackway_core/quarantine/__init__.py
+++ b/packages/core/src/tamarackway_core/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Requests that targets die of."""
 
+from tamarackway_core.quarantine._register import Loss as Loss
 from tamarackway_core.quarantine._register import (
     QuarantineRegister as QuarantineRegister,
 )
--- a/packages/core/src/tamarackway_core/quarantine/_register.py
+++ b/packages/core/src/tamarackway_core/quarantine/_register.py
@@ -9,12 +9,28 @@
 _MAX_FINGERPRINTS: Final = 4096
 _GROUP_WINDOW_S: Final = 5.0
 _GROUP_SHARE: Final = 0.5
+_MAX_RECENT: Final = 64
+_TELLING_S: Final = 10.0
 _MIN_GROUP_LOSSES: Final = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A target died while it ran a request.
+
+    :param fingerprint: digest of the request.
+    :param target: name of the target.
+    :param incarnation: incarnation of the target.
+    """
+
+    fingerprint: str
+    target: str
+    incarnation: int
+
+
 @dataclass(slots=True)
 class _Record:
-    targets: set[tuple[str, int]]
+    losses: set[Loss]
     last_loss_s: float
 
 
@@ -29,27 +45,24 @@
     def __init__(self) -> None:
         """Start with no losses."""
         self._records: OrderedDict[str, _Record] = OrderedDict()
-        self._recent: deque[tuple[float, str]] = deque()
-
-    def report(
-        self,
-        fingerprint: str,
-        target: str,
-        incarnation: int,
-        now_s: float,
-    ) -> None:
-        """Count the loss of a target.
-
-        :param fingerprint: digest of the request that the target ran.
-        :param target: name of the target.
-        :param incarnation: incarnation of the target.
+        self._recent: deque[tuple[float, Loss]] = deque(maxlen=_MAX_RECENT)
+
+    def report(self, loss: Loss, now_s: float) -> None:
+        """Count a loss, once however often it is reported.
+
+        :param loss: the loss.
         :param now_s: monotonic time in seconds.
         """
-        self._recent.append((now_s, target))
-        record = self._records.setdefault(fingerprint, _Record(set(), now_s))
-        record.targets.add((target, incarnation))
+        record = self._records.setdefault(
+            loss.fingerprint,
+            _Record(set(), now_s),
+        )
+        if loss in record.losses:
+            return
+        self._recent.append((now_s, loss))
+        record.losses.add(loss)
         record.last_loss_s = now_s
-        self._records.move_to_end(fingerprint)
+        self._records.move_to_end(loss.fingerprint)
         while len(self._records) > _MAX_FINGERPRINTS:
             self._records.popitem(last=False)
 
@@ -65,7 +78,18 @@
         if now_s - record.last_loss_s > _LIFETIME_S:
             self._records.pop(fingerprint)
             return False
-        return len(record.targets) >= MAX_LOSSES
+        return len(record.losses) >= MAX_LOSSES
+
+    def list_recent(self, now_s: float) -> tuple[Loss, ...]:
+        """Return the losses that peers may not have heard of yet.
+
+        :param now_s: monotonic time in seconds.
+        """
+        return tuple(
+            loss
+            for reported_s, loss in self._recent
+            if now_s - reported_s <= _TELLING_S
+        )
 
     def is_group_failing(self, group_size: int, now_s: float) -> bool:
         """Return whether too many targets die for one request to be at fault.
@@ -73,8 +97,10 @@
         :param group_size: number of targets of the service.
         :param now_s: monotonic time in seconds.
         """
-        while self._recent and now_s - self._recent[0][0] > _GROUP_WINDOW_S:
-            self._recent.popleft()
-        lost = len({target for _, target in self._recent})
+        lost = {
+            loss.target
+            for reported_s, loss in self._recent
+            if now_s - reported_s <= _GROUP_WINDOW_S
+        }
         limit = max(_GROUP_SHARE * group_size, _MIN_GROUP_LOSSES)
-        return lost >= limit
+        return len(lost) >= limit
--- a/packages/core/src/tamarackway_core/routing/_router.py
+++ b/packages/core/src/tamarackway_core/routing/_router.py
@@ -77,6 +77,7 @@
         for name in gone:
             if not self._trackers[name].in_flight:
                 self._trackers.pop(name)
+                self.judge.note_reached(name)
 
     def choose(
         self,
@@ -131,9 +132,42 @@
         :param verdict: how it ended.
         :param now_s: monotonic time in seconds.
         """
-        self._trackers[choice.target.name].finish(latency_s, verdict, now_s)
+        name = choice.target.name
+        self._trackers[name].finish(latency_s, verdict, now_s)
         if verdict == Verdict.ANSWERED:
             self._latencies.add(latency_s)
+        elif verdict == Verdict.LOST:
+            self.judge.note_loss(name)
+
+    def choose_trial(
+        self,
+        regions: Sequence[RegionChoice],
+        now_s: float,
+    ) -> Choice | None:
+        """Return an ejected target that is due for a trial, or None.
+
+        :param regions: regions that the request may be served from.
+        :param now_s: monotonic time in seconds.
+        """
+        by_name = {region.region: region for region in regions}
+        names = [
+            target.name
+            for target in self._targets.values()
+            if target.state == State.LIVE and target.place.region in by_name
+        ]
+        name = self.judge.take_trial(names, now_s)
+        if name is None:
+            return None
+        target = self._targets[name]
+        return Choice(target, by_name[target.place.region], 1, ())
+
+    def list_lost(self) -> list[Target]:
+        """Return the targets that are out until a probe reaches them."""
+        return [
+            self._targets[name]
+            for name in self.judge.lost
+            if name in self._targets
+        ]
 
     @property
     def in_flight(self) -> int:
--- a/packages/core/src/tamarackway_core/routing/_tracker.py
+++ b/packages/core/src/tamarackway_core/routing/_tracker.py
@@ -35,7 +35,6 @@
         self.in_flight = 0
         self.latency_s = _INITIAL_LATENCY_S
         self.samples = 0
-        self.losses_in_a_row = 0
         self._last_finish_s = now_s
 
     def start(self) -> None:
@@ -50,10 +49,6 @@
         :param now_s: monotonic time in seconds.
         """
         self.in_flight -= 1
-        if verdict == Verdict.LOST:
-            self.losses_in_a_row += 1
-        elif verdict == Verdict.ANSWERED:
-            self.losses_in_a_row = 0
         if verdict != Verdict.SHED:
             shortened = verdict == Verdict.CANCELLED
             if not shortened or latency_s > self.latency_s:
--- a/packages/core/src/tamarackway_core/tests/test_quarantine.py
+++ b/packages/core/src/tamarackway_core/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tamarackway_core.quarantine import QuarantineRegister
+from tamarackway_core.quarantine import Loss, QuarantineRegister
 
 _Loss = tuple[str, str, int]
 
@@ -25,7 +25,7 @@
 ) -> None:
     register = QuarantineRegister()
     for fingerprint, target, incarnation in losses:
-        register.report(fingerprint, target, incarnation, 0)
+        register.report(Loss(fingerprint, target, incarnation), 0)
     assert register.is_quarantined('f', now_s) is quarantined
 
 
@@ -40,6 +40,6 @@
 ) -> None:
     register = QuarantineRegister()
     for number in range(lost):
-        register.report(f'f{number}', f't{number}', 1, 0)
+        register.report(Loss(f'f{number}', f't{number}', 1), 0)
     assert register.is_group_failing(group_size, 1) is failing
     assert not register.is_group_failing(group_size, 10)
--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -7,6 +7,7 @@
 from tamarackway_core.membership import Member
 from tamarackway_core.once import Answer, Outcome, RunResult
 from tamarackway_core.places import Instance, Place, State
+from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
 from tamarackway_core.wire import (
     Envelope,
@@ -37,7 +38,7 @@
         JoinReply(
             RunResult(Outcome.NOT_RUN, refusal=Refusal(Reason.DEADLINE)),
         ),
-        LossReport('f', 't1', 2),
+        LossReport(Loss('f', 't1', 2)),
         ExplainReply(('one', 'two')),
         Ok(),
     ],
--- a/packages/core/src/tamarackway_core/wire/_messages.py
+++ b/packages/core/src/tamarackway_core/wire/_messages.py
@@ -5,6 +5,7 @@
 
 from tamarackway_core.membership import Member
 from tamarackway_core.once import RunResult
+from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
 
 
@@ -74,14 +75,10 @@
 class LossReport:
     """Tells that a target died while it ran a request.
 
-    :param fingerprint: digest that identifies the request.
-    :param target: name of the target.
-    :param incarnation: incarnation of the target.
+    :param loss: the loss.
     """
 
-    fingerprint: str
-    target: str
-    incarnation: int
+    loss: Loss
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tamarackway_entry/assembly/_requests.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_requests.py
@@ -15,7 +15,7 @@
 )
 from tamarackway_entry.peers import PeerService
 from tamarackway_entry.platform import ObjectStore, TableService
-from tamarackway_entry.routes import RouteService
+from tamarackway_entry.routes import LossService, RouteService
 from tamarackway_entry.settings import Settings
 from tamarackway_entry.targets import Dispatcher
 from tamarackway_entry.telemetry import Metrics, Tracing
@@ -30,6 +30,7 @@
         'lookups',
         LookupRunner(
             kernel.find('routes', RouteService),
+            kernel.find('losses', LossService),
             kernel.find('dispatcher', Dispatcher),
             kernel.find('tracing', Tracing),
             kernel.find('clock', SystemClock),
@@ -78,6 +79,7 @@
         recorder=kernel.find('recorder', OutcomeRecorder),
         joins=kernel.find('joins', JoinService),
         routes=kernel.find('routes', RouteService),
+        losses=kernel.find('losses', LossService),
         dispatcher=kernel.find('dispatcher', Dispatcher),
         tracing=kernel.find('tracing', Tracing),
         clock=kernel.find('clock', SystemClock),
--- a/packages/entry/src/tamarackway_entry/assembly/_self_view.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_self_view.py
@@ -5,7 +5,7 @@
 
 from tamarackway_entry.lifecycle import Lifecycle
 from tamarackway_entry.plans import CurrentPlan
-from tamarackway_entry.routes import RouteService
+from tamarackway_entry.routes import LossService, RouteService
 from tamarackway_entry.settings import InstanceSettings
 from tamarackway_entry.targets import TargetDirectory
 
@@ -19,6 +19,7 @@
     :param current: the plan in force.
     :param routes: requests in flight.
     :param directory: targets that are leaving.
+    :param losses: recent losses of targets.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         current: CurrentPlan,
         routes: RouteService,
         directory: TargetDirectory,
+        losses: LossService,
     ) -> None:
         """Remember the parts."""
         self._incarnation = incarnation
@@ -36,6 +38,7 @@
         self._current = current
         self._routes = routes
         self._directory = directory
+        self._losses = losses
         self._instance = Instance(
             settings.name,
             Place(settings.region, settings.failure_domain),
@@ -54,4 +57,5 @@
             self._lifecycle.requests_per_s,
             self._routes.in_flight(),
             self._directory.marks,
+            self._losses.list_recent(),
         )
--- a/packages/entry/src/tamarackway_entry/assembly/_steering.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_steering.py
@@ -10,7 +10,7 @@
     ObjectStore,
     TableService,
 )
-from tamarackway_entry.routes import RouteService
+from tamarackway_entry.routes import LossService, RouteService
 from tamarackway_entry.settings import Settings
 from tamarackway_entry.shares import ShareService
 from tamarackway_entry.targets import (
@@ -93,11 +93,13 @@
         settings,
         current,
         directory,
+        kernel.find('dispatcher', Dispatcher),
         shares,
         peers,
         clock,
         metrics,
     )
+    losses = LossService(directory, peers, clock)
     self_view = SelfDescription(
         settings.instance,
         incarnation,
@@ -105,8 +107,10 @@
         current,
         routes,
         directory,
+        losses,
     )
     peers.self_view = self_view
+    kernel.register('losses', losses)
     kernel.register('shares', shares)
     kernel.register('routes', routes)
     kernel.register('self-view', self_view)
--- a/packages/entry/src/tamarackway_entry/lookups/_runner.py
+++ b/packages/entry/src/tamarackway_entry/lookups/_runner.py
@@ -15,18 +15,21 @@
     NotSentError,
 )
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.routes import CallerRequest, RouteService
+from tamarackway_entry.routes import CallerRequest, LossService, RouteService
 from tamarackway_entry.targets import Dispatcher, ShedError
 from tamarackway_entry.telemetry import Metrics, Tracing
 
 _MAX_ATTEMPTS: Final = 4
 _MIN_HEDGE_DELAY_S: Final = 0.002
+_STALL_S: Final = 0.3
+_STALL_FACTOR: Final = 5
 
 
 class LookupRunner:
     """Runs look-ups.
 
     :param routes: chooses targets.
+    :param losses: knows requests that targets die of.
     :param dispatcher: sends requests to targets.
     :param tracing: starts a span for each attempt.
     :param clock: clocks of the daemon.
@@ -36,6 +39,7 @@
     def __init__(
         self,
         routes: RouteService,
+        losses: LossService,
         dispatcher: Dispatcher,
         tracing: Tracing,
         clock: Clock,
@@ -43,6 +47,7 @@
     ) -> None:
         """Remember the parts."""
         self.routes = routes
+        self.losses = losses
         self.dispatcher = dispatcher
         self.tracing = tracing
         self.clock = clock
@@ -53,7 +58,7 @@
 
         :param request: the request.
         """
-        if self.routes.is_quarantined(request):
+        if self.losses.is_quarantined(request):
             refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
             return RunResult(Outcome.UNKNOWN, refusal=refusal)
         first = await self.routes.acquire(request)
@@ -61,8 +66,29 @@
             return RunResult(Outcome.NOT_RUN, refusal=first)
         router = self.routes.router(request.rule.service)
         router.budget.earn()
+        trial = self.routes.try_trial(request)
+        if trial is not None:
+            self.routes.run_aside(self._try_out, request, trial)
         return await _Race(self, request).run(first)
 
+    async def _try_out(self, request: CallerRequest, trial: Choice) -> None:
+        """Send a spare copy to an ejected target to learn its latency."""
+        service = request.rule.service
+        self.metrics.attempts.labels(service, 'trial').inc()
+        started_s = self.clock.now_s()
+        outgoing = request.to_target(max(request.deadline_s - started_s, 0))
+        verdict = Verdict.CANCELLED
+        try:
+            await self.dispatcher.send(trial.target, outgoing)
+            verdict = Verdict.ANSWERED
+        except ShedError:
+            verdict = Verdict.SHED
+        except HttpError:
+            verdict = Verdict.LOST
+        finally:
+            latency_s = self.clock.now_s() - started_s
+            self.routes.release(request, trial, latency_s, verdict)
+
 
 class _Race:
     """The attempts of one look-up, of which the first answer wins."""
@@ -89,29 +115,40 @@
         return self._conclude()
 
     async def _hedge(self, group: TaskGroup) -> None:
-        delay_s = self._router.hedge_delay_s()
-        if delay_s is None:
-            return
+        delay_s = self._router.hedge_delay_s() or _STALL_S
         with anyio.move_on_after(max(delay_s, _MIN_HEDGE_DELAY_S)):
             await self._ended.wait()
         if not self._ended.is_set():
             self._start_another(group, 'hedge')
 
     async def _wait_or_retry(self, group: TaskGroup) -> None:
-        await self._ended.wait()
-        while self._answer is None and self._may_retry():
+        while self._answer is None:
+            with anyio.move_on_after(self._stall_s()):
+                await self._ended.wait()
+            if self._answer is not None or not self._may_retry():
+                break
             self._ended = anyio.Event()
-            if not self._start_another(group, 'retry'):
+            started = self._start_another(group, 'retry')
+            if not started and not self._under_way:
                 return
-            await self._ended.wait()
+        await self._ended.wait()
+
+    def _stall_s(self) -> float:
+        """Return how long an attempt may go without any progress."""
+        delay_s = self._router.hedge_delay_s() or 0
+        return max(delay_s * _STALL_FACTOR, _STALL_S)
 
     def _may_retry(self) -> bool:
         return len(self._tried) < _MAX_ATTEMPTS and not (
-            self._runner.routes.is_quarantined(self._request)
+            self._runner.losses.is_quarantined(self._request)
         )
 
     def _start_another(self, group: TaskGroup, kind: str) -> bool:
-        if not self._router.budget.spend():
+        budget = self._router.budget
+        spend = budget.spend_on_retry
+        if kind == 'hedge':
+            spend = budget.spend_on_hedge
+        if not spend():
             return False
         routes = self._runner.routes
         choice = routes.try_acquire(self._request, self._tried)
@@ -128,18 +165,23 @@
             self._request.decision.note(now_s, f'that was a {kind}')
         self._tried.append(choice.target.name)
         self._under_way += 1
-        group.start_soon(self._attempt, choice)
+        group.start_soon(self._attempt, choice, kind != 'first')
 
-    async def _attempt(self, choice: Choice) -> None:
+    async def _attempt(self, choice: Choice, fresh: bool) -> None:
         started_s = self._runner.clock.now_s()
         verdict = Verdict.CANCELLED
         try:
-            verdict = await self._send(choice)
+            verdict = await self._send(choice, fresh=fresh)
         finally:
             self._finish(choice, started_s, verdict)
+            if verdict == Verdict.CANCELLED and self._has_stalled(started_s):
+                await self._runner.dispatcher.retire_idle(choice.target)
         if self._answer is not None or not self._under_way:
             self._ended.set()
 
+    def _has_stalled(self, started_s: float) -> bool:
+        return self._runner.clock.now_s() - started_s >= _STALL_S
+
     def _finish(
         self,
         choice: Choice,
@@ -150,7 +192,7 @@
         self._runner.routes.release(self._request, choice, latency_s, verdict)
         self._under_way -= 1
 
-    async def _send(self, choice: Choice) -> Verdict:
+    async def _send(self, choice: Choice, *, fresh: bool) -> Verdict:
         request = self._request
         now_s = self._runner.clock.now_s()
         outgoing = request.to_target(request.deadline_s - now_s)
@@ -163,6 +205,7 @@
                 answer = await self._runner.dispatcher.send(
                     choice.target,
                     outgoing,
+                    fresh=fresh,
                 )
             except ShedError as error:
                 self._perhaps_run -= 1
@@ -175,7 +218,7 @@
             except HttpError as error:
                 self._note_failure(Reason.TARGET_LOST, error)
                 if isinstance(error, LostError):
-                    await self._runner.routes.report_loss(request, choice)
+                    self._runner.losses.report(request, choice.target)
                 return Verdict.LOST
         self._answer = answer
         self._request.decision.note(
--- a/packages/entry/src/tamarackway_entry/once/_joins.py
+++ b/packages/entry/src/tamarackway_entry/once/_joins.py
@@ -16,6 +16,8 @@
 
 _MAX_WAIT_S: Final = 60.0
 _HOP_S: Final = 1.0
+_OUT_OF_REACH_S: Final = 3.0
+_ASK_AGAIN_S: Final = 0.1
 
 
 class RunWatch:
@@ -90,17 +92,7 @@
         )
         if command.incarnation == self._incarnation:
             return await self._testify(request)
-        try:
-            reply = await self._peers.ask(
-                command.claimant,
-                request,
-                remaining_s + _HOP_S,
-            )
-        except PeerLostError:
-            return lost_claimant()
-        if isinstance(reply, JoinReply):
-            return reply.run
-        return lost_claimant()
+        return await self._ask_peer(command.claimant, request, deadline_s)
 
     async def wait(self, token: str, deadline_s: float) -> None:
         """Wait until an attempt of this instance has ended.
@@ -126,6 +118,26 @@
         await self.wait(token, deadline_s)
         return self._ledger.recall(row_key, token)
 
+    async def _ask_peer(
+        self,
+        claimant: str,
+        request: JoinRequest,
+        deadline_s: float,
+    ) -> RunResult:
+        """Ask again while the claimant may only be out of reach for now."""
+        give_up_s = min(deadline_s, self._clock.now_s() + _OUT_OF_REACH_S)
+        while True:
+            wait_s = max(deadline_s - self._clock.now_s(), 0) + _HOP_S
+            try:
+                reply = await self._peers.ask(claimant, request, wait_s)
+            except PeerLostError:
+                reply = None
+            if isinstance(reply, JoinReply):
+                return reply.run
+            if self._clock.now_s() >= give_up_s:
+                return lost_claimant()
+            await anyio.sleep(_ASK_AGAIN_S)
+
     async def _answer(self, request: JoinRequest) -> Message:
         return JoinReply(await self._testify(request))
 
--- a/packages/entry/src/tamarackway_entry/once/_runner.py
+++ b/packages/entry/src/tamarackway_entry/once/_runner.py
@@ -24,7 +24,7 @@
 from tamarackway_entry.once._claimer import Claimer
 from tamarackway_entry.once._joins import JoinService, RunWatch
 from tamarackway_entry.once._recorder import OutcomeRecorder
-from tamarackway_entry.routes import CallerRequest, RouteService
+from tamarackway_entry.routes import CallerRequest, LossService, RouteService
 from tamarackway_entry.targets import Dispatcher, ShedError
 from tamarackway_entry.telemetry import Metrics, Tracing
 
@@ -42,6 +42,7 @@
     :param recorder: writes outcomes.
     :param joins: waits for attempts.
     :param routes: chooses targets.
+    :param losses: knows requests that targets die of.
     :param dispatcher: sends requests to targets.
     :param tracing: starts a span for each hop.
     :param clock: clocks of the daemon.
@@ -57,6 +58,7 @@
         recorder: OutcomeRecorder,
         joins: JoinService,
         routes: RouteService,
+        losses: LossService,
         dispatcher: Dispatcher,
         tracing: Tracing,
         clock: Clock,
@@ -69,6 +71,7 @@
         self._recorder = recorder
         self._joins = joins
         self._routes = routes
+        self._losses = losses
         self._dispatcher = dispatcher
         self._tracing = tracing
         self._clock = clock
@@ -93,7 +96,7 @@
         :param request: the request.
         :param key: key of its claim row.
         """
-        if self._routes.is_quarantined(request):
+        if self._losses.is_quarantined(request):
             refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
             return RunResult(Outcome.UNKNOWN, refusal=refusal)
         number = request.attempt or 1
@@ -228,7 +231,7 @@
                 return Verdict.LOST, refused
             except HttpError as error:
                 if isinstance(error, LostError):
-                    await self._routes.report_loss(request, choice)
+                    self._losses.report(request, choice.target)
                 lost = Refusal(Reason.TARGET_LOST, str(error))
                 return Verdict.LOST, RunResult(Outcome.UNKNOWN, refusal=lost)
         content_type = answer.headers.get('content-type', '')
--- a/packages/entry/src/tamarackway_entry/platform/_inventory.py
+++ b/packages/entry/src/tamarackway_entry/platform/_inventory.py
@@ -48,6 +48,7 @@
         self._metrics = metrics
         self._read_s = clock.now_s()
         self._failing = False
+        self.was_read = False
 
     async def run(self) -> None:
         """Read the list again and again until cancelled."""
@@ -76,6 +77,7 @@
             return
         self._read_s = self._clock.now_s()
         self._failing = False
+        self.was_read = True
 
 
 def _parse(answer: HttpAnswer) -> Inventory:
--- a/packages/entry/src/tamarackway_entry/routes/_service.py
+++ b/packages/entry/src/tamarackway_entry/routes/_service.py
@@ -1,12 +1,13 @@
 """Chooses targets for requests of all services."""
 
 import random
-from collections.abc import Collection, Sequence
-from typing import Final
+from collections.abc import Callable, Collection, Coroutine, Sequence
+from typing import Any, Final
 
 import anyio
+from anyio.abc import TaskGroup
 from tamarackway_core.errors import Reason, Refusal
-from tamarackway_core.quarantine import QuarantineRegister
+from tamarackway_core.places import Target
 from tamarackway_core.routing import (
     Choice,
     LeastCostPolicy,
@@ -17,7 +18,6 @@
     order_regions,
 )
 from tamarackway_core.sheet import PlanRow
-from tamarackway_core.wire import LossReport, Message, Ok
 
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.peers import PeerService
@@ -26,15 +26,14 @@
 from tamarackway_entry.routes._request import CallerRequest
 from tamarackway_entry.settings import Settings
 from tamarackway_entry.shares import ShareService
-from tamarackway_entry.targets import TargetDirectory
-from tamarackway_entry.telemetry import Metrics, part_logger
+from tamarackway_entry.targets import Dispatcher, TargetDirectory
+from tamarackway_entry.telemetry import Metrics
 
 _TICK_S: Final = 0.2
 _MS_PER_S: Final = 1000
 _SHORTEST_WAIT_S: Final = 0.001
 _RETRY_AFTER_S: Final = 1
 _CAPPED_WAIT_S: Final = 0.02
-_log = part_logger('routes')
 
 
 class RouteService:
@@ -43,6 +42,7 @@
     :param settings: settings of the daemon.
     :param current: the plan in force.
     :param directory: the targets.
+    :param dispatcher: probes targets that were lost.
     :param shares: admits requests under caps.
     :param peers: the other entry instances.
     :param clock: clocks of the daemon.
@@ -54,6 +54,7 @@
         settings: Settings,
         current: CurrentPlan,
         directory: TargetDirectory,
+        dispatcher: Dispatcher,
         shares: ShareService,
         peers: PeerService,
         clock: Clock,
@@ -63,6 +64,7 @@
         self._settings = settings
         self._current = current
         self._directory = directory
+        self._dispatcher = dispatcher
         self._shares = shares
         self._peers = peers
         self._clock = clock
@@ -70,16 +72,30 @@
         self._rng = random.Random()  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         self._routers: dict[str, ServiceRouter] = {}
         self._queues: dict[str, SlotQueue] = {}
-        self._quarantine = QuarantineRegister()
-        peers.handle(LossReport, self._take_loss)
+        self._group: TaskGroup | None = None
+        self._probing: set[str] = set()
 
     async def run(self) -> None:
         """Follow changes of targets until cancelled."""
-        while True:
-            for service, router in self._routers.items():
-                self._update(service, router)
-                self._queues[service].wake_all()
-            await anyio.sleep(_TICK_S)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                for service in self._routers:
+                    self._follow(service, group)
+                await anyio.sleep(_TICK_S)
+
+    def run_aside(
+        self,
+        function: Callable[..., Coroutine[Any, Any, Any]],
+        *arguments: object,
+    ) -> None:
+        """Run a function that no caller waits for.
+
+        :param function: what to run.
+        :param arguments: its arguments.
+        """
+        if self._group is not None:
+            self._group.start_soon(function, *arguments)
 
     def router(self, service: str) -> ServiceRouter:
         """Return the router of a service."""
@@ -171,6 +187,23 @@
             return found
         return None
 
+    def try_trial(self, request: CallerRequest) -> Choice | None:
+        """Return an ejected target that is due for a trial, or None.
+
+        :param request: the request of which a spare copy is the trial.
+
+        The attempt is counted as started; :meth:`release` must follow.
+        """
+        router = self.router(request.rule.service)
+        if not router.judge.slow:
+            return None
+        now_s = self._clock.now_s()
+        choice = router.choose_trial(self.regions(request), now_s)
+        if choice is None or not router.budget.spend_on_hedge():
+            return None
+        router.start(choice)
+        return choice
+
     def release(
         self,
         request: CallerRequest,
@@ -191,42 +224,22 @@
         self._metrics.verdicts.labels(service, verdict).inc()
         self._queues[service].wake()
 
-    def is_quarantined(self, request: CallerRequest) -> bool:
-        """Return whether targets have died of the request."""
-        now_s = self._clock.now_s()
-        return self._quarantine.is_quarantined(request.digest, now_s)
-
-    async def report_loss(
-        self,
-        request: CallerRequest,
-        choice: Choice,
-    ) -> None:
-        """Tell all entry instances that a target died running a request.
+    def _follow(self, service: str, group: TaskGroup) -> None:
+        router = self._routers[service]
+        self._update(service, router)
+        self._queues[service].wake_all()
+        for target in router.list_lost():
+            group.start_soon(self._probe, router, target)
 
-        :param request: the request.
-        :param choice: the target.
-        """
-        group = self._directory.list_service(request.rule.service)
-        now_s = self._clock.now_s()
-        if self._quarantine.is_group_failing(len(group), now_s):
-            _log.warning('Many targets of %s die.', request.rule.service)
+    async def _probe(self, router: ServiceRouter, target: Target) -> None:
+        if target.name in self._probing:
             return
-        report = LossReport(
-            request.digest,
-            choice.target.name,
-            choice.target.incarnation,
-        )
-        await self._take_loss(report)
-        await self._peers.broadcast(report)
-
-    async def _take_loss(self, report: LossReport) -> Message:
-        self._quarantine.report(
-            report.fingerprint,
-            report.target,
-            report.incarnation,
-            self._clock.now_s(),
-        )
-        return Ok()
+        self._probing.add(target.name)
+        try:
+            if await self._dispatcher.reaches(target):
+                router.judge.note_reached(target.name)
+        finally:
+            self._probing.discard(target.name)
 
     def _choose(
         self,
--- a/packages/entry/src/tamarackway_entry/targets/_dispatch.py
+++ b/packages/entry/src/tamarackway_entry/targets/_dispatch.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+import anyio
 from tamarackway_core.places import Target, parse_address
 
 from tamarackway_entry.http import (
@@ -14,6 +15,7 @@
 from tamarackway_entry.targets._directory import TargetDirectory
 
 _UNAVAILABLE: Final = 503
+_REACH_TIMEOUT_S: Final = 1.0
 _ID_HEADER: Final = 'x-request-id'
 _OUTCOME_HEADER: Final = 'x-outcome'
 _STATE_HEADER: Final = 'x-target-state'
@@ -74,6 +76,14 @@
             raise ShedError(f'{target.name} shed the request')
         return answer
 
+    async def reaches(self, target: Target) -> bool:
+        """Return whether a target answers on a new connection."""
+        try:
+            await self.fetch_health(target, _REACH_TIMEOUT_S)
+        except HttpError:
+            return False
+        return True
+
     async def fetch_health(self, target: Target, timeout_s: float) -> bytes:
         """Return what the health endpoint of a target answers.
 
@@ -83,12 +93,12 @@
         """
         pool = self._find_pool(target.address)
         request = HttpRequest('GET', '/health', {}, b'', timeout_s)
-        return (await pool.send(request)).body
+        return (await pool.send(request, fresh=True)).body
 
-    async def close_idle(self) -> None:
-        """Close all idle connections."""
-        for pool in self._pools.values():
-            await pool.close_idle()
+    async def retire_idle(self, target: Target) -> None:
+        """Close the idle connections to a target, one of which is silent."""
+        with anyio.CancelScope(shield=True):
+            await self._find_pool(target.address).close_idle()
 
     def _find_pool(self, address: str) -> ConnectionPool:
         pool = self._pools.get(address)
