--- a/packages/bench/src/tamarackway_bench/_command.py
+++ b/packages/bench/src/tamarackway_bench/_command.py
@@ -9,8 +9,10 @@
 from tamarackway_bench.figures import (
     measure_policy,
     measure_processes,
+    measure_reports,
     print_figures,
 )
+from tamarackway_bench.slopes import measure_entry_slopes, measure_slopes
 
 app = typer.Typer(
     help=__doc__,
@@ -39,3 +41,13 @@
     """Print a line ``name value unit`` for each figure."""
     print_figures(measure_policy(quick=quick))
     print_figures(measure_processes(quick=quick))
+    print_figures(measure_reports(quick=quick))
+
+
+@app.command()
+def slopes() -> None:
+    """Print how costs grow, and their extrapolation."""
+    for slope in measure_slopes():
+        typer.echo(str(slope))
+    for slope in measure_entry_slopes():
+        typer.echo(str(slope))
--- a/packages/bench/src/tamarackway_bench/figures/_processes.py
+++ b/packages/bench/src/tamarackway_bench/figures/_processes.py
@@ -11,12 +11,12 @@
 import anyio
 
 from tamarackway_bench.figures._figure import Figure
+from tamarackway_bench.figures._reports import count_writes
 from tamarackway_bench.fleet import (
     Caller,
     Fleet,
     FleetSpec,
     ServiceSpec,
-    fetch,
 )
 
 _SPEC: Final = FleetSpec(
@@ -119,8 +119,7 @@
 
 
 async def _measure_reports(fleet: Fleet, requests: int) -> list[Figure]:
-    table = fleet.layout.platform['table'].address
-    before = (await fetch('GET', table, '/counts'))['writes']
+    before = await count_writes(fleet)
     caller = fleet.caller()
     left = iter(range(requests))
     took_s: list[float] = []
@@ -135,7 +134,7 @@
         for _ in range(_CALLERS):
             group.start_soon(work)
     await anyio.sleep(1)
-    after = (await fetch('GET', table, '/counts'))['writes']
+    after = await count_writes(fleet)
     await caller.close()
     writes = (after - before) / requests
     p50_ms = statistics.median(took_s) * _MS_PER_S
--- a/packages/entry/src/tamarackway_entry/callers/_app.py
+++ b/packages/entry/src/tamarackway_entry/callers/_app.py
@@ -159,7 +159,7 @@
         result = RunResult(Outcome.UNKNOWN)
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_when_gone, receive, group)
-            result = await self._lookups.look_up(request)
+            result = await self._lookups.look_up(request, group)
             group.cancel_scope.cancel()
         return result
 
--- a/packages/entry/src/tamarackway_entry/http/_pool.py
+++ b/packages/entry/src/tamarackway_entry/http/_pool.py
@@ -110,7 +110,7 @@
         :raises BadAnswerError: if the answer cannot be trusted.
         """
         connection = self._connect() if fresh else await self._take()
-        sent = _SentFlag()
+        sent = _SentFlag(is_set=not fresh)
         keep = False
         try:
             with anyio.fail_after(request.timeout_s):
@@ -155,15 +155,7 @@
                     *request.headers.items(),
                 ],
                 content=request.body,
-                extensions={
-                    'timeout': {
-                        'connect': min(
-                            request.timeout_s,
-                            _CONNECT_TIMEOUT_S,
-                        ),
-                    },
-                    'trace': sent.watch,
-                },
+                extensions=_build_extensions(request.timeout_s, sent),
             ),
         )
         try:
@@ -221,16 +213,27 @@
 
 
 class _SentFlag:
-    """Tells whether the first byte of a request may have been sent."""
+    """Tells whether the first byte of a request may have been sent.
 
-    def __init__(self) -> None:
-        self.is_set = False
+    Only requests on new connections are watched, since that costs time.
+    """
+
+    def __init__(self, *, is_set: bool) -> None:
+        self.is_set = is_set
 
     async def watch(self, event: str, _details: dict[str, Any]) -> None:
         if event == _FIRST_BYTE_EVENT:
             self.is_set = True
 
 
+def _build_extensions(timeout_s: float, sent: _SentFlag) -> dict[str, Any]:
+    connect_s = min(timeout_s, _CONNECT_TIMEOUT_S)
+    extensions: dict[str, Any] = {'timeout': {'connect': connect_s}}
+    if not sent.is_set:
+        extensions['trace'] = sent.watch
+    return extensions
+
+
 def _classify(
     kind: type[LostError] | type[TimedOutError],
     sent: _SentFlag,
--- a/packages/entry/src/tamarackway_entry/http/_server.py
+++ b/packages/entry/src/tamarackway_entry/http/_server.py
@@ -37,6 +37,8 @@
                 access_log=False,
                 log_config=None,
                 server_header=False,
+                date_header=False,
+                proxy_headers=False,
                 limit_concurrency=max_connections,
                 timeout_keep_alive=_KEEP_ALIVE_S,
             ),
--- a/packages/entry/src/tamarackway_entry/lookups/_runner.py
+++ b/packages/entry/src/tamarackway_entry/lookups/_runner.py
@@ -53,10 +53,15 @@
         self.clock = clock
         self.metrics = metrics
 
-    async def look_up(self, request: CallerRequest) -> RunResult:
+    async def look_up(
+        self,
+        request: CallerRequest,
+        group: TaskGroup,
+    ) -> RunResult:
         """Return the answer of the first target that gives a whole one.
 
         :param request: the request.
+        :param group: hosts the attempts; the caller cancels it at the end.
         """
         if self.losses.is_quarantined(request):
             refusal = Refusal(Reason.QUARANTINED, 'targets died running it')
@@ -69,7 +74,7 @@
         trial = self.routes.try_trial(request)
         if trial is not None:
             self.routes.run_aside(self._try_out, request, trial)
-        return await _Race(self, request).run(first)
+        return await _Race(self, request).run(first, group)
 
     async def _try_out(self, request: CallerRequest, trial: Choice) -> None:
         """Send a spare copy to an ejected target to learn its latency."""
@@ -104,14 +109,13 @@
         self._failure: Refusal | None = None
         self._ended = anyio.Event()
 
-    async def run(self, first: Choice) -> RunResult:
+    async def run(self, first: Choice, group: TaskGroup) -> RunResult:
         remaining_s = self._request.deadline_s - self._runner.clock.now_s()
-        async with anyio.create_task_group() as group:
-            with anyio.move_on_after(max(remaining_s, 0)):
-                self._start(group, first, 'first')
-                await self._hedge(group)
+        with anyio.move_on_after(max(remaining_s, 0)):
+            self._start(group, first, 'first')
+            await self._hedge(group)
+            if self._answer is None:
                 await self._wait_or_retry(group)
-            group.cancel_scope.cancel()
         return self._conclude()
 
     async def _hedge(self, group: TaskGroup) -> None:
--- a/packages/entry/src/tamarackway_entry/once/_recorder.py
+++ b/packages/entry/src/tamarackway_entry/once/_recorder.py
@@ -19,7 +19,6 @@
 _MAX_INLINE_BYTES: Final = 65_536
 _MAX_WAITING: Final = 5000
 _RETRY_S: Final = 0.5
-_IDLE_S: Final = 0.02
 _log = part_logger('once')
 
 
@@ -46,6 +45,7 @@
         self._objects = objects
         self._waiting: deque[_Record] = deque()
         self._under_way = 0
+        self._arrived = anyio.Event()
 
     @property
     def is_idle(self) -> bool:
@@ -70,16 +70,18 @@
             dropped = self._waiting.popleft()
             _log.error('The outcome of %s is not stored.', dropped.row_key)
         self._waiting.append(_Record(row_key, claim, result))
+        self._arrived.set()
 
     async def run(self) -> None:
         """Write outcomes until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
+                await self._arrived.wait()
+                self._arrived = anyio.Event()
                 while self._waiting:
                     record = self._waiting.popleft()
                     self._under_way += 1
                     group.start_soon(self._write, record)
-                await anyio.sleep(_IDLE_S)
 
     async def _write(self, record: _Record) -> None:
         try:
@@ -89,6 +91,7 @@
         if not stored:
             await anyio.sleep(_RETRY_S)
             self._waiting.append(record)
+            self._arrived.set()
         self._under_way -= 1
 
     async def _try_write(self, record: _Record) -> bool:
--- a/packages/entry/src/tamarackway_entry/plans/_submit.py
+++ b/packages/entry/src/tamarackway_entry/plans/_submit.py
@@ -1,5 +1,6 @@
 """Acceptance of a sheet by compare-and-set."""
 
+import enum
 import uuid
 from dataclasses import asdict
 from typing import Final
@@ -39,6 +40,15 @@
 _SETTLE_INTERVAL_S: Final = 0.2
 
 
+class _Settled(enum.Enum):
+    """What became of a commit whose answer was lost."""
+
+    OPEN = enum.auto()
+    ACCEPTED = enum.auto()
+    OVERTAKEN = enum.auto()
+    NOT_WRITTEN = enum.auto()
+
+
 class PlanInDoubtError(TamarackwayError):
     """The table took the answer with it; the sheet may be in force."""
 
@@ -131,36 +141,42 @@
             return await self._settle(pointer)
 
     async def _settle(self, pointer: PlanPointer) -> bool:
+        settled: _Settled = _Settled.OPEN
         with anyio.move_on_after(_SETTLE_S):
-            while True:
+            while settled == _Settled.OPEN:
                 await anyio.sleep(_SETTLE_INTERVAL_S)
-                try:
-                    settled = await self._try_to_settle(pointer)
-                except (StoreUnavailableError, StoreInDoubtError):
-                    continue
-                if settled is not None:
-                    return settled
-        raise PlanInDoubtError(
-            f'the table did not tell whether {pointer.digest} was accepted',
-            'look for this digest in tamarackctl plan history',
-        )
-
-    async def _try_to_settle(self, pointer: PlanPointer) -> bool | None:
-        keys = [POINTER_KEY, history_key(pointer.version)]
-        current, history = await self._table.read(keys)
-        accepted = parse_pointer(history.value)
-        if accepted is not None:
-            return accepted.token == pointer.token
-        if await self._fence(current):
+                settled = await self._try_to_settle(pointer)
+        if settled == _Settled.OPEN:
+            raise PlanInDoubtError(
+                f'the table did not tell whether {pointer.digest} was accepted',
+                'look for this digest in tamarackctl plan history',
+            )
+        if settled == _Settled.NOT_WRITTEN:
             raise StoreUnavailableError('the sheet was not accepted')
-        return None
+        return settled == _Settled.ACCEPTED
 
-    async def _fence(self, current: Row) -> bool:
+    async def _try_to_settle(self, pointer: PlanPointer) -> _Settled:
+        keys = [POINTER_KEY, history_key(pointer.version)]
+        try:
+            current, history = await self._table.read(keys)
+            accepted = parse_pointer(history.value)
+            if accepted is None:
+                return await self._fence(current)
+        except (StoreUnavailableError, StoreInDoubtError):
+            return _Settled.OPEN
+        if accepted.token == pointer.token:
+            return _Settled.ACCEPTED
+        return _Settled.OVERTAKEN
+
+    async def _fence(self, current: Row) -> _Settled:
         """Rewrite the pointer, so that a delayed write of it must fail."""
-        write = Operation(POINTER_KEY, current.value, current.revision)
         if current.value is None:
-            return False
-        return isinstance(await self._table.transact([write]), Committed)
+            return _Settled.OPEN
+        write = Operation(POINTER_KEY, current.value, current.revision)
+        committed = await self._table.transact([write])
+        if isinstance(committed, Committed):
+            return _Settled.NOT_WRITTEN
+        return _Settled.OPEN
 
     async def _starts(self, current: PlanPointer | None) -> dict[str, float]:
         if current is None:
--- a/packages/entry/src/tamarackway_entry/routes/_losses.py
+++ b/packages/entry/src/tamarackway_entry/routes/_losses.py
@@ -1,7 +1,5 @@
 """Losses of targets, shared with all entry instances."""
 
-from typing import Final
-
 import anyio
 from tamarackway_core.membership import Member
 from tamarackway_core.places import Target
@@ -14,7 +12,6 @@
 from tamarackway_entry.targets import TargetDirectory
 from tamarackway_entry.telemetry import part_logger
 
-_TICK_S: Final = 0.02
 _log = part_logger('losses')
 
 
@@ -40,15 +37,17 @@
         self._clock = clock
         self._register = QuarantineRegister()
         self._untold: list[Loss] = []
+        self._arrived = anyio.Event()
         peers.handle(LossReport, self._take_report)
         peers.listen(self._hear)
 
     async def run(self) -> None:
         """Tell peers of new losses until cancelled."""
         while True:
+            await self._arrived.wait()
+            self._arrived = anyio.Event()
             while self._untold:
                 await self._peers.broadcast(LossReport(self._untold.pop()))
-            await anyio.sleep(_TICK_S)
 
     def is_quarantined(self, request: CallerRequest) -> bool:
         """Return whether targets have died of the request."""
@@ -69,6 +68,7 @@
         loss = Loss(request.digest, target.name, target.incarnation)
         self._register.report(loss, now_s)
         self._untold.append(loss)
+        self._arrived.set()
 
     def list_recent(self) -> tuple[Loss, ...]:
         """Return the losses to tell with heartbeats."""
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/fakes.py
@@ -0,0 +1,112 @@
+"""Small fakes at the interfaces of the daemon."""
+
+from collections.abc import Sequence
+from typing import cast
+
+import anyio
+from tamarackway_core.sheet import AcceptedPlan
+
+from tamarackway_entry.platform import (
+    Committed,
+    Conflict,
+    ObjectStore,
+    Operation,
+    Row,
+    StoreInDoubtError,
+    StoreUnavailableError,
+    TableService,
+)
+
+
+class FakeClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.at_s = 1000.0
+
+    def now_s(self) -> float:
+        return self.at_s
+
+    def time_s(self) -> float:
+        return self.at_s
+
+
+class FakeTable:
+    """A table in memory whose next answers can be lost or refused."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.revision = 0
+        self.transactions = 0
+        self.is_up = True
+        self.lose_next = 0
+        self.apply_lost = True
+        self.refuse = False
+        self.delay_s = 0.0
+
+    def as_service(self) -> TableService:
+        return cast('TableService', self)
+
+    async def transact(
+        self,
+        operations: Sequence[Operation],
+    ) -> Committed | list[Conflict]:
+        self.transactions += 1
+        await anyio.sleep(self.delay_s)
+        if self.refuse:
+            raise StoreUnavailableError('refused')
+        lost = self.lose_next > 0
+        self.lose_next = max(self.lose_next - 1, 0)
+        if lost and not self.apply_lost:
+            raise StoreInDoubtError('lost')
+        conflicts = [
+            Conflict(index, operation.key, self.rows.get(operation.key))
+            for index, operation in enumerate(operations)
+            if operation.expect is not None
+            and self.find(operation.key).revision != operation.expect
+        ]
+        if not conflicts:
+            self.revision += 1
+            for operation in operations:
+                row = Row(self.revision, operation.value)
+                self.rows[operation.key] = row
+        if lost:
+            raise StoreInDoubtError('lost')
+        return conflicts or Committed(self.revision)
+
+    async def read(
+        self,
+        keys: Sequence[str],
+        *,
+        even_if_down: bool = False,
+    ) -> list[Row]:
+        if self.refuse and not even_if_down:
+            raise StoreUnavailableError('refused')
+        return [self.find(key) for key in keys]
+
+    async def scan(self, prefix: str, limit: int) -> dict[str, Row]:
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return {key: self.rows[key] for key in keys[:limit]}
+
+    def find(self, key: str) -> Row:
+        return self.rows.get(key, Row(0))
+
+
+class FakeObjects:
+    """An object store in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+
+    def as_store(self) -> ObjectStore:
+        return cast('ObjectStore', self)
+
+    async def put(self, key: str, body: bytes) -> None:
+        self.objects[key] = body
+
+    async def get(self, key: str) -> bytes | None:
+        return self.objects.get(key)
+
+
+def build_plan(version: int, sheet: str) -> AcceptedPlan:
+    return AcceptedPlan(version, f'digest-{version}', 'ann', 0, sheet)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_pool.py
@@ -0,0 +1,122 @@
+"""Tests of connections to servers that misbehave."""
+
+import functools
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+from anyio.streams.stapled import MultiListener
+from tamarackway_core.places import Address
+
+from tamarackway_entry.http import (
+    BadAnswerError,
+    ConnectionPool,
+    HttpAnswer,
+    HttpError,
+    HttpRequest,
+    LostError,
+    NotSentError,
+    TimedOutError,
+)
+
+pytestmark = pytest.mark.anyio
+HOST = '127.0.0.1'
+HEAD = b'HTTP/1.1 200 OK\r\n'
+MAX_BYTES = 1000
+_Serve = Callable[[SocketStream], Awaitable[None]]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+async def _answer(answer: bytes, stream: SocketStream) -> None:
+    async with stream:
+        await stream.receive()
+        await stream.send(answer)
+
+
+async def _reset(stream: SocketStream) -> None:
+    async with stream:
+        await stream.receive()
+
+
+async def _stay_silent(stream: SocketStream) -> None:
+    async with stream:
+        await anyio.sleep_forever()
+
+
+async def _send(serve: _Serve, *, fresh: bool = True) -> HttpAnswer:
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    pool = ConnectionPool(
+        Address(HOST, _find_port(listener)),
+        HOST,
+        MAX_BYTES,
+    )
+    request = HttpRequest('GET', '/', {}, b'', 0.3)
+    outcome: list[HttpAnswer | HttpError] = []
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        try:
+            outcome.append(await pool.send(request, fresh=fresh))
+        except HttpError as error:
+            outcome.append(error)
+        await pool.close_idle()
+        group.cancel_scope.cancel()
+    if isinstance(outcome[0], HttpError):
+        raise outcome[0]
+    return outcome[0]
+
+
+def _find_port(listener: MultiListener[SocketStream]) -> int:
+    address = listener.extra_attributes[SocketAttribute.local_address]()
+    port: int = address[1]
+    return port
+
+
+async def test_a_whole_answer_is_returned() -> None:
+    answer = HEAD + b'content-length: 2\r\n\r\nok'
+    reply = await _send(functools.partial(_answer, answer))
+    assert (reply.status, reply.body) == (200, b'ok')
+
+
+@pytest.mark.parametrize('fresh', [True, False])
+@pytest.mark.parametrize(
+    ('serve', 'error'),
+    [
+        (_reset, LostError),
+        (_stay_silent, TimedOutError),
+        (
+            functools.partial(_answer, HEAD + b'content-length: 9\r\n\r\nok'),
+            LostError,
+        ),
+        (functools.partial(_answer, HEAD + b'\r\nok'), BadAnswerError),
+        (
+            functools.partial(
+                _answer,
+                HEAD + b'content-length: 2000\r\n\r\n' + b'x' * 2000,
+            ),
+            BadAnswerError,
+        ),
+        (functools.partial(_answer, b'garbage\r\n\r\n'), LostError),
+    ],
+)
+async def test_answers_in_doubt_are_typed_errors(
+    serve: _Serve,
+    error: type[Exception],
+    fresh: bool,
+) -> None:
+    with pytest.raises(error):
+        await _send(serve, fresh=fresh)
+
+
+async def test_a_refused_connection_sent_nothing() -> None:
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = _find_port(listener)
+    await listener.aclose()
+    pool = ConnectionPool(Address(HOST, port), HOST, MAX_BYTES)
+    request = HttpRequest('GET', '/', {}, b'', 1)
+    with pytest.raises(NotSentError):
+        await pool.send(request, fresh=True)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_submit.py
@@ -0,0 +1,71 @@
+"""Tests of the acceptance of sheets."""
+
+import pytest
+from tamarackway_core.errors import ConflictError
+from tamarackway_core.sheet import COLUMNS
+
+from tamarackway_entry.plans import PlanSubmitter
+from tamarackway_entry.platform import StoreUnavailableError
+from tamarackway_entry.tests.fakes import FakeClock, FakeObjects, FakeTable
+
+pytestmark = pytest.mark.anyio
+ROWS = (
+    'l1,lookup,status,,,,500,ms,why',
+    's1,serve,status,North,,,60,percent,why',
+)
+SHEET = '\n'.join((','.join(COLUMNS), *ROWS, ''))
+OTHER = SHEET.replace('60', '70')
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@pytest.fixture
+def table() -> FakeTable:
+    return FakeTable()
+
+
+@pytest.fixture
+def submitter(table: FakeTable) -> PlanSubmitter:
+    objects = FakeObjects()
+    return PlanSubmitter(table.as_service(), objects.as_store(), FakeClock())
+
+
+async def test_versions_grow(submitter: PlanSubmitter) -> None:
+    first = await submitter.submit(SHEET, 'ann', None)
+    second = await submitter.submit(OTHER, 'bob', 1)
+    assert (first.plan.version, second.plan.version) == (1, 2)
+
+
+async def test_a_stale_base_is_a_conflict(submitter: PlanSubmitter) -> None:
+    await submitter.submit(SHEET, 'ann', None)
+    await submitter.submit(SHEET, 'ann', 1)
+    with pytest.raises(ConflictError) as caught:
+        await submitter.submit(OTHER, 'bob', 1)
+    assert caught.value.rows == ('s1',)
+
+
+async def test_a_lost_answer_is_resolved_when_it_took_effect(
+    submitter: PlanSubmitter,
+    table: FakeTable,
+) -> None:
+    await submitter.submit(SHEET, 'ann', None)
+    table.lose_next = 1
+    accepted = await submitter.submit(OTHER, 'bob', 1)
+    assert accepted.plan.version == 2
+
+
+async def test_a_lost_write_is_fenced_so_that_it_cannot_come_late(
+    submitter: PlanSubmitter,
+    table: FakeTable,
+) -> None:
+    await submitter.submit(SHEET, 'ann', None)
+    before = table.find('plan/pointer').revision
+    table.lose_next = 1
+    table.apply_lost = False
+    with pytest.raises(StoreUnavailableError):
+        await submitter.submit(OTHER, 'bob', 1)
+    assert table.find('plan/pointer').revision > before
+    assert table.find('plan/pointer').value['version'] == 1
