--- a/packages/bench/src/tamarackway_bench/tests/features/targets.feature
+++ b/packages/bench/src/tamarackway_bench/tests/features/targets.feature
@@ -75,3 +75,9 @@
     Then every look-up was answered
     And every report ran at most once
     And no report was cut off
+
+  Scenario: A caller that leaves cancels its look-up at the target
+    Given target 1 of status-lookup is 100 times slower
+    And target 4 of status-lookup is 100 times slower
+    When a caller sends look-ups to entry instance 1 and leaves after 0.2 seconds
+    Then the targets of status-lookup were told of cancelled requests
--- a/packages/bench/src/tamarackway_bench/tests/steps_targets.py
+++ b/packages/bench/src/tamarackway_bench/tests/steps_targets.py
@@ -2,6 +2,7 @@
 
 import time
 
+import anyio
 from pytest_bdd import given, parsers, then, when
 
 from tamarackway_bench.tests.loads import LookUp
@@ -24,6 +25,47 @@
     world.set_faults(target.name, truncated=True)
 
 
+@given(
+    parsers.parse(
+        'target {number:d} of status-lookup is {factor:d} times slower',
+    ),
+)
+def slow_target(world: World, number: int, factor: int) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    world.set_faults(target.name, slow_factor=factor)
+
+
+@when(
+    parsers.parse(
+        'a caller sends look-ups to entry instance {number:d} '
+        'and leaves after {seconds:f} seconds',
+    ),
+)
+def leave_early(world: World, number: int, seconds: float) -> None:
+    async def send_and_leave() -> None:
+        caller = world.fleet.caller()
+        path = f'/v1/services/{LOOK_UP}/x'
+        with anyio.move_on_after(seconds):
+            async with anyio.create_task_group() as group:
+                for _ in range(6):
+                    address = world.address(number)
+                    group.start_soon(caller.send, 'GET', address, path)
+        await caller.close()
+
+    world.call(send_and_leave)
+
+
+@then('the targets of status-lookup were told of cancelled requests')
+def told_cancelled(world: World) -> None:
+    def count() -> int:
+        return sum(
+            world.fetch(target.node.address, '/health')['cancelled']
+            for target in world.fleet.targets(LOOK_UP)
+        )
+
+    assert world.wait_until(lambda: count() > 0, 3)
+
+
 @when('look-ups are counted anew')
 def count_anew(world: World) -> None:
     world.notes['since_s'] = time.monotonic()
--- a/packages/core/src/tamarackway_core/routing/_outliers.py
+++ b/packages/core/src/tamarackway_core/routing/_outliers.py
@@ -23,7 +23,7 @@
     return_ratio: float = 1.7
     min_samples: int = 5
     max_share: float = 0.4
-    trial_interval_s: float = 0.5
+    trial_interval_s: float = 0.25
 
 
 class OutlierJudge:
--- a/packages/core/src/tamarackway_core/routing/_tracker.py
+++ b/packages/core/src/tamarackway_core/routing/_tracker.py
@@ -4,7 +4,7 @@
 import math
 from typing import Final
 
-_LATENCY_WINDOW_S: Final = 1.0
+_LATENCY_WINDOW_S: Final = 0.6
 _INITIAL_LATENCY_S: Final = 0.01
 
 
--- a/packages/entry/src/tamarackway_entry/assembly/_requests.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_requests.py
@@ -1,5 +1,7 @@
 """Builds what runs requests: look-ups and once-only requests."""
 
+from typing import Final
+
 from tamarackway_core.once import ClaimLedger
 
 from tamarackway_entry.kernel import Kernel, SystemClock
@@ -20,6 +22,9 @@
 from tamarackway_entry.targets import Dispatcher
 from tamarackway_entry.telemetry import Metrics, Tracing
 
+_CLAIM_SPACING_S: Final = 0.02
+_OUTCOME_LINGER_S: Final = 0.05
+
 
 def build_requests(kernel: Kernel) -> None:
     """Register the parts that run requests.
@@ -50,13 +55,14 @@
     incarnation = kernel.find('incarnation', str)
     ledger = ClaimLedger()
     watch = RunWatch()
-    batcher = ClaimBatcher(table)
+    claims = ClaimBatcher(table, spacing_s=_CLAIM_SPACING_S)
+    outcomes = ClaimBatcher(table, linger_s=_OUTCOME_LINGER_S)
     joins = JoinService(ledger, watch, peers, incarnation, clock)
     claimer = Claimer(
         instance=settings.instance.name,
         incarnation=incarnation,
         ledger=ledger,
-        batcher=batcher,
+        batcher=claims,
         joins=joins,
         objects=objects,
         metrics=kernel.find('metrics', Metrics),
@@ -64,10 +70,11 @@
     sweep = SweepService(table, peers, settings.instance.name, clock)
     kernel.register('ledger', ledger)
     kernel.register('watch', watch)
-    kernel.register('batcher', batcher)
+    kernel.register('claim-writes', claims)
+    kernel.register('outcome-writes', outcomes)
     kernel.register('joins', joins)
     kernel.register('claimer', claimer)
-    kernel.register('recorder', OutcomeRecorder(batcher, objects))
+    kernel.register('recorder', OutcomeRecorder(outcomes, objects))
     kernel.register('sweep', sweep)
 
 
--- a/packages/entry/src/tamarackway_entry/once/_batcher.py
+++ b/packages/entry/src/tamarackway_entry/once/_batcher.py
@@ -19,6 +19,7 @@
 )
 
 _MAX_BATCH: Final = 64
+_MAX_UNDER_WAY: Final = 4
 _MAX_WAITING: Final = 2000
 
 
@@ -74,23 +75,41 @@
     """Writes claim rows.
 
     :param table: the table service.
+    :param spacing_s: least time from one transaction to the next, unless
+        the table answers sooner, in seconds.
+    :param linger_s: time to wait for more writes before a transaction.
 
-    While one transaction is under way, the writes that arrive wait for the
-    next one and share it.
+    The writes that arrive until the next transaction share it. A few
+    transactions may be under way at once, so that a far table adds no more
+    than the spacing to the wait for its answer.
     """
 
-    def __init__(self, table: TableService) -> None:
+    def __init__(
+        self,
+        table: TableService,
+        spacing_s: float = 0,
+        linger_s: float = 0,
+    ) -> None:
         """Start without waiting writes."""
+        self._spacing_s = spacing_s
+        self._linger_s = linger_s
+        self._under_way = anyio.Semaphore(_MAX_UNDER_WAY)
         self._table = table
         self._waiting: list[_Waiting] = []
         self._arrived = anyio.Event()
+        self._answered = anyio.Event()
 
     async def run(self) -> None:
         """Send transactions until cancelled."""
-        while True:
-            await self._arrived.wait()
-            batch = self._take_batch()
-            await self._write(batch)
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._arrived.wait()
+                await anyio.sleep(self._linger_s)
+                await self._under_way.acquire()
+                self._answered = anyio.Event()
+                group.start_soon(self._write_and_release, self._take_batch())
+                with anyio.move_on_after(self._spacing_s):
+                    await self._answered.wait()
 
     async def write(
         self,
@@ -142,6 +161,13 @@
             self._arrived = anyio.Event()
         return list(batch.values())
 
+    async def _write_and_release(self, batch: list[_Waiting]) -> None:
+        try:
+            await self._write(batch)
+        finally:
+            self._under_way.release()
+            self._answered.set()
+
     async def _write(self, batch: list[_Waiting]) -> None:
         while batch:
             operations = [waiting.operation for waiting in batch]
--- a/packages/entry/src/tamarackway_entry/tests/test_batcher.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_batcher.py
@@ -26,7 +26,7 @@
     table: FakeTable,
     keys: list[str],
 ) -> dict[str, WriteResult]:
-    batcher = ClaimBatcher(table.as_service())
+    batcher = ClaimBatcher(table.as_service(), spacing_s=0.005)
     results: dict[str, WriteResult] = {}
 
     async def write(key: str) -> None:
