--- a/packages/bench/src/tamarackway_bench/tests/features/targets.feature
+++ b/packages/bench/src/tamarackway_bench/tests/features/targets.feature
@@ -17,6 +17,13 @@
     Then every answer belongs to its own request
     And at least 100 look-ups were answered
 
+  Scenario: Answers that come late never reach another caller
+    Given target 1 of status-lookup holds its answers back for 3 seconds
+    And callers keep sending look-ups
+    When 4 seconds pass
+    Then every answer belongs to its own request
+    And at least 100 look-ups were answered
+
   Scenario: Open connections go silent
     Given callers keep sending look-ups
     When 1 second passes
--- a/packages/bench/src/tamarackway_bench/tests/steps_targets.py
+++ b/packages/bench/src/tamarackway_bench/tests/steps_targets.py
@@ -66,6 +66,17 @@
     assert world.wait_until(lambda: count() > 0, 3)
 
 
+@given(
+    parsers.parse(
+        'target {number:d} of status-lookup holds its answers back '
+        'for {seconds:d} seconds',
+    ),
+)
+def hold_back(world: World, number: int, seconds: int) -> None:
+    target = world.fleet.targets(LOOK_UP)[number - 1]
+    world.set_faults(target.name, late_s=seconds)
+
+
 @when('look-ups are counted anew')
 def count_anew(world: World) -> None:
     world.notes['since_s'] = time.monotonic()
--- a/packages/core/src/tamarackway_core/errors/_refusals.py
+++ b/packages/core/src/tamarackway_core/errors/_refusals.py
@@ -11,7 +11,6 @@
 
     UNKNOWN_SERVICE = 'unknown-service'
     NO_PLAN = 'no-plan'
-    NO_REGION = 'no-region'
     NO_TARGET = 'no-target'
     QUEUE_FULL = 'queue-full'
     DEADLINE = 'deadline'
@@ -38,7 +37,6 @@
 REMEDIES: Final = MappingProxyType({
     Reason.UNKNOWN_SERVICE: 'use a service that the sheet in force declares',
     Reason.NO_PLAN: 'submit a sheet with tamarackctl plan submit',
-    Reason.NO_REGION: 'add a serve row for the service to the sheet',
     Reason.NO_TARGET: 'start a target or end its leave row in the sheet',
     Reason.QUEUE_FULL: _RESEND,
     Reason.DEADLINE: 'allow a longer deadline or send the request again',
--- a/packages/core/src/tamarackway_core/membership/_advice.py
+++ b/packages/core/src/tamarackway_core/membership/_advice.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Final
 
 from tamarackway_core.membership._view import Member
 from tamarackway_core.places import Place, State
 
+MAX_ADVISED: Final = 16
+
 
 @dataclass(frozen=True, slots=True)
 class EntryAdvice:
@@ -27,12 +30,14 @@
     members: Iterable[Member],
     home: Place,
     distances_s: Mapping[str, float],
+    limit: int = MAX_ADVISED,
 ) -> list[EntryAdvice]:
-    """Return the live entry instances, the best for a caller first.
+    """Return live entry instances, the best for a caller first.
 
     :param members: entry instances in any state.
     :param home: place of the caller.
     :param distances_s: one-way delays from home in seconds by region.
+    :param limit: most instances to return.
 
     The nearest region comes first; within a region the least busy instance.
     """
@@ -52,5 +57,5 @@
             member.instance.place.region,
             member.instance.place.failure_domain,
         )
-        for member in live
+        for member in live[:limit]
     ]
--- a/packages/core/src/tamarackway_core/tests/test_membership.py
+++ b/packages/core/src/tamarackway_core/tests/test_membership.py
@@ -74,6 +74,8 @@
     ]
     ranked = rank_entries(members, Place('North', 'a'), {'South': 0.01})
     assert [advice.instance for advice in ranked] == ['idle', 'busy', 'far']
+    few = rank_entries(members, Place('North', 'a'), {'South': 0.01}, 1)
+    assert [advice.instance for advice in few] == ['idle']
 
 
 @given(st.sets(st.text(), min_size=2), st.text(), st.data())
--- a/packages/entry/src/tamarackway_entry/once/_runner.py
+++ b/packages/entry/src/tamarackway_entry/once/_runner.py
@@ -119,7 +119,8 @@
     ) -> RunResult:
         attempt = Attempt(str(uuid.uuid4()), request.digest, number)
         if self._group is None:
-            return _refuse(Reason.STOPPING, 'the instance is starting')
+            refusal = Refusal(Reason.STOPPING, 'the instance is starting', 1)
+            return RunResult(Outcome.UNKNOWN, refusal=refusal)
         self._ledger.begin_claim(key, attempt)
         self._watch.begin(attempt.token)
         self._group.start_soon(self._carry_out, request, key, attempt)
--- a/packages/entry/src/tamarackway_entry/routes/_queue.py
+++ b/packages/entry/src/tamarackway_entry/routes/_queue.py
@@ -1,6 +1,6 @@
 """Bounded queue of requests that wait for a free slot."""
 
-from collections import OrderedDict
+import heapq
 
 import anyio
 
@@ -9,12 +9,15 @@
     """Wakes waiting requests in the order of their arrival.
 
     :param max_waiting: requests that may wait at once.
+
+    Waiting and waking take time logarithmic in the number of requests.
     """
 
     def __init__(self, max_waiting: int) -> None:
         """Start empty."""
         self._max_waiting = max_waiting
-        self._events: OrderedDict[int, anyio.Event] = OrderedDict()
+        self._events: dict[int, anyio.Event] = {}
+        self._order: list[int] = []
         self._tickets = 0
 
     def __len__(self) -> int:
@@ -34,13 +37,13 @@
     async def wait(self, ticket: int, timeout_s: float) -> None:
         """Wait until a slot may be free or the time is over.
 
-        :param ticket: place in the queue; a lower one is woken first.
+        :param ticket: place in the queue; a lower one is woken first, also
+            when it waits again.
         :param timeout_s: longest wait in seconds.
         """
         event = anyio.Event()
         self._events[ticket] = event
-        if next(iter(self._events)) != ticket and self._is_out_of_order():
-            self._sort()
+        heapq.heappush(self._order, ticket)
         try:
             with anyio.move_on_after(timeout_s):
                 await event.wait()
@@ -49,18 +52,13 @@
 
     def wake(self) -> None:
         """Wake the request that has waited longest."""
-        if self._events:
-            _, event = self._events.popitem(last=False)
-            event.set()
+        while self._order:
+            event = self._events.pop(heapq.heappop(self._order), None)
+            if event is not None:
+                event.set()
+                return
 
     def wake_all(self) -> None:
         """Wake all requests, since targets have changed."""
         while self._events:
             self.wake()
-
-    def _is_out_of_order(self) -> bool:
-        tickets = list(self._events)
-        return tickets[-1] < tickets[-2]
-
-    def _sort(self) -> None:
-        self._events = OrderedDict(sorted(self._events.items()))
