Isolate the fresh entry instance of its scenario; let load reports lag

Its peers still had its address, came to it, and it learnt the plan from them, as it should. Whether it did so before the question was a matter of time.

Change: the scenario gives the instance a key that no peer has, so it can learn from nobody. The expectation is unchanged.

--- a/packages/bench/src/tamarackway_bench/tests/steps_interfaces.py
+++ b/packages/bench/src/tamarackway_bench/tests/steps_interfaces.py
@@ -9,7 +9,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import ConnectionClosed
 
-from tamarackway_bench.fleet._settings import render_settings
+from tamarackway_bench.fleet._settings import PEER_KEY, render_settings
 from tamarackway_bench.tests.world import LOOK_UP, REPORT, World
 
 NONCE_BYTES = 32
@@ -102,6 +102,7 @@
     text = render_settings(layout, entry)
     for node in layout.platform.values():
         text = text.replace(node.relay, '127.0.0.1:9')
+    text = text.replace(PEER_KEY, 'another-key-that-no-peer-has-0123456789')
     lines = [line for line in text.splitlines() if 'seeds' not in line]
     path = Path(world.folder / 'alone.toml')
     path.write_text('\n'.join(lines), encoding='utf-8')
--- a/packages/standins/src/tamarackway_standins/targets/_app.py
+++ b/packages/standins/src/tamarackway_standins/targets/_app.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable, MutableMapping
 from dataclasses import asdict, replace
 from pathlib import Path
@@ -18,6 +19,7 @@
 _Receive = Callable[[], Awaitable[_Message]]
 _Send = Callable[[_Message], Awaitable[None]]
 _COLD_FACTOR: Final = 2
+_MAX_LOADS: Final = 1000
 _POISON: Final = b'poison'
 _MS_PER_S: Final = 1000
 
@@ -40,6 +42,7 @@
         self._waiting = 0
         self._running = 0
         self._runs = 0
+        self._loads: deque[tuple[float, int]] = deque(maxlen=_MAX_LOADS)
         self._cancelled = 0
 
     async def __call__(
@@ -65,11 +68,21 @@
         reported = self.faults.reported_load
         return {
             'state': 'leaving' if self.faults.leaving else 'live',
-            'load': self._running if reported < 0 else reported,
+            'load': self._past_load() if reported < 0 else reported,
             'runs': self._runs,
             'cancelled': self._cancelled,
         }
 
+    def _past_load(self) -> int:
+        """Return the load as it was some time ago."""
+        seen_s = time.monotonic() - self.faults.report_lag_s
+        past = [load for at_s, load in self._loads if at_s <= seen_s]
+        return past[-1] if past else 0
+
+    def _change_load(self, change: int) -> None:
+        self._running += change
+        self._loads.append((time.monotonic(), self._running))
+
     async def _serve_work(
         self,
         scope: _Message,
@@ -118,11 +131,11 @@
         if not acquired:
             await self._send_shed(send, headers)
             return
-        self._running += 1
+        self._change_load(1)
         try:
             await self._work(scope, headers, body)
         finally:
-            self._running -= 1
+            self._change_load(-1)
             self._slots.release()
         await self._answer(scope, headers, body, send)
 
--- a/packages/standins/src/tamarackway_standins/targets/_model.py
+++ b/packages/standins/src/tamarackway_standins/targets/_model.py
@@ -40,7 +40,8 @@
     :param truncated: break off answers in the middle.
     :param late_s: hold answers back after the work, in seconds.
     :param silent: accept requests and answer none.
-    :param reported_load: load told by ``/load``, or -1 for the truth.
+    :param reported_load: load told by ``/health``, or -1 for the truth.
+    :param report_lag_s: age of the load that is told, in seconds.
     """
 
     slow_factor: float = 1
@@ -53,3 +54,4 @@
     late_s: float = 0
     silent: bool = False
     reported_load: int = -1
+    report_lag_s: float = 0
