Never reuse the serial of a lease that was dropped

Cause: a holder whose lease another instance had dropped from the row began again at serial 1. Ruled out: late writes themselves; the condition on the row's revision holds. Change: a holder numbers its proposals on, whatever the row says. Scripted case added, which failed first.

--- a/packages/core/src/tamarackway_core/limits/_holder.py
+++ b/packages/core/src/tamarackway_core/limits/_holder.py
@@ -43,6 +43,7 @@
         self._lease_ends_s = now_s
         self._observer = LeaseObserver()
         self._asked = 0
+        self._serial = 0
         self._counted_s = now_s
 
     def share_per_s(self, now_s: float) -> float:
@@ -84,9 +85,11 @@
             self._holder,
             self._take_wanted_per_s(now_s),
             self._observer.observe(table, now_s),
+            self._serial,
         )
         own = granted.find(self._holder)
         self._proposed_per_s = own.share_per_s if own else 0
+        self._serial = own.serial if own else self._serial
         self._leased_per_s = min(self._leased_per_s, self._proposed_per_s)
         return granted
 
--- a/packages/core/src/tamarackway_core/limits/_shares.py
+++ b/packages/core/src/tamarackway_core/limits/_shares.py
@@ -54,6 +54,7 @@
     holder: str,
     wanted_per_s: float,
     expired: Collection[str],
+    last_serial: int = 0,
 ) -> LeaseTable:
     """Return the leases after a holder has asked for a share.
 
@@ -62,6 +63,8 @@
     :param holder: name and incarnation of the entry instance that asks.
     :param wanted_per_s: share that it would like.
     :param expired: holders whose leases the asker has seen lapse.
+    :param last_serial: serial of the holder's last proposal. A lease that was
+        dropped must not come back under a serial that observers know.
 
     The shares never add up to more than the leased part of the cap. A holder
     of more than an even part gives way while others want more than they have.
@@ -73,7 +76,7 @@
         if lease.holder != holder and lease.holder not in expired
     ]
     current = table.find(holder)
-    serial = current.serial + 1 if current else 1
+    serial = max(current.serial if current else 0, last_serial) + 1
     taken_per_s = sum(lease.share_per_s for lease in others)
     limit_per_s = max(pool_per_s - taken_per_s, 0)
     if any(lease.wanted_per_s > lease.share_per_s for lease in others):
--- a/packages/core/src/tamarackway_core/tests/test_shares_machine.py
+++ b/packages/core/src/tamarackway_core/tests/test_shares_machine.py
@@ -145,6 +145,24 @@
     run_state_machine_as_test(SharesMachine, settings=FUZZING)
 
 
+def test_a_dropped_lease_does_not_reuse_its_serial() -> None:
+    machine = SharesMachine()
+    machine.begin_renewal(2, 0)
+    machine.write_renewal(0, 1)
+    machine.begin_renewal(0, 0)
+    machine.pass_time(12)
+    machine.begin_renewal(0, 0)
+    machine.write_renewal(0, 0)
+    machine.deliver_late_write(0)
+    machine.begin_renewal(2, 0)
+    machine.write_renewal(0, 2)
+    for _ in range(3):
+        machine.pass_time(0.1)
+    machine.begin_renewal(0, 500)
+    machine.write_renewal(0, 2)
+    machine.shares_stay_under_the_cap()
+
+
 def _lapse_at_once(
     self: LeaseObserver,
     table: LeaseTable,
