--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core entry ctl standins bench
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 TOOLS := pytest pytest-bdd hypothesis import-linter mypy ruff flake8 wemake-python-styleguide
 
 .PHONY: install demo test lint unit fuzz bench bench-quick slopes format clean
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt $(EDITABLE) $(TOOLS)
 	touch $@
@@ -19,8 +19,8 @@
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages
-	$(BIN)/mypy packages
+	$(BIN)/flake8 packages platform
+	$(BIN)/mypy packages platform
 	$(BIN)/lint-imports
 
 unit: install
--- a/packages/core/src/tamarackway_core/limits/_shares.py
+++ b/packages/core/src/tamarackway_core/limits/_shares.py
@@ -76,7 +76,8 @@
         if lease.holder != holder and lease.holder not in expired
     ]
     current = table.find(holder)
-    serial = max(current.serial if current else 0, last_serial) + 1
+    known_serial = current.serial if current else 0
+    serial = max(known_serial, last_serial) + 1
     taken_per_s = sum(lease.share_per_s for lease in others)
     limit_per_s = max(pool_per_s - taken_per_s, 0)
     if any(lease.wanted_per_s > lease.share_per_s for lease in others):
--- a/packages/core/src/tamarackway_core/quarantine/_register.py
+++ b/packages/core/src/tamarackway_core/quarantine/_register.py
@@ -66,6 +66,13 @@
         while len(self._records) > _MAX_FINGERPRINTS:
             self._records.popitem(last=False)
 
+    def clear(self, fingerprint: str) -> None:
+        """Forget the losses of a request that a target has answered.
+
+        :param fingerprint: digest of the request.
+        """
+        self._records.pop(fingerprint, None)
+
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether a request must not be run.
 
--- a/packages/core/src/tamarackway_core/wire/__init__.py
+++ b/packages/core/src/tamarackway_core/wire/__init__.py
@@ -4,6 +4,10 @@
 from tamarackway_core.wire._codec import Envelope as Envelope
 from tamarackway_core.wire._codec import decode as decode
 from tamarackway_core.wire._codec import encode as encode
+from tamarackway_core.wire._fleet import FleetBeat as FleetBeat
+from tamarackway_core.wire._fleet import FleetMember as FleetMember
+from tamarackway_core.wire._fleet import RowsRelay as RowsRelay
+from tamarackway_core.wire._fleet import StoredRow as StoredRow
 from tamarackway_core.wire._messages import ExplainReply as ExplainReply
 from tamarackway_core.wire._messages import ExplainRequest as ExplainRequest
 from tamarackway_core.wire._messages import Heartbeat as Heartbeat
--- a/packages/core/src/tamarackway_core/wire/_messages.py
+++ b/packages/core/src/tamarackway_core/wire/_messages.py
@@ -7,6 +7,7 @@
 from tamarackway_core.once import RunResult
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
+from tamarackway_core.wire._fleet import FleetBeat, RowsRelay
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,5 +114,7 @@
     | LossReport
     | ExplainRequest
     | ExplainReply
+    | FleetBeat
+    | RowsRelay
     | Ok
 )
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""The other entry instances: who lives, and what all of them know."""
+
+from tamarackway_entry.fleet._directory import list_entries as list_entries
+from tamarackway_entry.fleet._registry import FleetRegistry as FleetRegistry
+from tamarackway_entry.fleet._service import FleetService as FleetService
+from tamarackway_entry.fleet._service import FleetSource as FleetSource
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -0,0 +1,225 @@
+"""Links to the other entry instances, heartbeats and relays."""
+
+import math
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from tamarackway_core.membership import elect
+from tamarackway_core.places import parse_address
+from tamarackway_core.wire import (
+    FleetBeat,
+    FleetMember,
+    Message,
+    Ok,
+    RowsRelay,
+)
+
+from tamarackway_entry.fleet._registry import FleetRegistry
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.links import PeerLink, PeerLostError, PeerServer
+from tamarackway_entry.telemetry import part_logger
+
+_BEAT_S: Final = 0.4
+_REPLY_TIMEOUT_S: Final = 0.8  # several round trips between far regions
+_MAX_MISSED: Final = 2
+_LIVE_S: Final = 1.6  # two heartbeats and the wait for the second reply
+_FORGET_S: Final = 60.0
+_FOLLOW_TASK: Final = 'follow'
+_log = part_logger('fleet')
+
+
+class FleetSource(Protocol):
+    """What this instance tells others of itself."""
+
+    def describe(self) -> FleetBeat:
+        """Return the heartbeat of this moment."""
+
+    def hear(self, beat: FleetBeat) -> None:
+        """Take in the heartbeat of a peer."""
+
+    def take_relay(self, relay: RowsRelay) -> None:
+        """Take changed rows that a peer passes on."""
+
+    def lose(self, name: str) -> None:
+        """Take in that a peer fell silent."""
+
+
+class _Peer:
+    def __init__(self, member: FleetMember, *, store_answers: bool) -> None:
+        self.member = member
+        self.heard_s = -math.inf
+        self.store_answers = store_answers
+        self.is_live = False
+
+
+class FleetService:
+    """Keeps a link to each other instance.
+
+    :param source: describes this instance and hears the others.
+    :param registry: rows by which instances find each other.
+    :param own: this instance.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        source: FleetSource,
+        registry: FleetRegistry,
+        own: FleetMember,
+        clock: Clock,
+    ) -> None:
+        """Start without links."""
+        self.on_change: Callable[[], None] = lambda: None
+        self._source = source
+        self._registry = registry
+        self._own = own
+        self._clock = clock
+        self._peers: dict[str, _Peer] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._known_s: dict[str, float] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._group: TaskGroup | None = None
+        self._secret = ''
+
+    def list_live(self) -> list[FleetMember]:
+        """Return the other instances that are alive."""
+        return [peer.member for peer in self._peers.values() if peer.is_live]
+
+    def is_elected(self) -> bool:
+        """Return whether this instance follows the store for the others."""
+        names = [
+            peer.member.name
+            for peer in self._peers.values()
+            if peer.is_live and peer.store_answers and not peer.member.leaving
+        ]
+        own = self._source.describe()
+        if not own.store_answers and names:
+            return False
+        return elect([*names, self._own.name], _FOLLOW_TASK) == self._own.name
+
+    async def run(self) -> None:
+        """Enrol, serve peers and send heartbeats until cancelled."""
+        enrolment = await self._registry.enrol(self._own)
+        self._secret = enrolment.secret
+        server = PeerServer(
+            parse_address(self._own.peers),
+            (self._secret,),
+            self._answer,
+        )
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(server.run)
+            for member in enrolment.members:
+                self._link(member.peers)
+            while True:
+                await anyio.sleep(_BEAT_S)
+                self._sweep()
+
+    def relay(self, relay: RowsRelay) -> None:
+        """Pass changed rows on to all peers.
+
+        :param relay: the changed rows.
+        """
+        if self._group is None:
+            return
+        for link in self._links.values():
+            self._group.start_soon(self._send, link, relay)
+
+    async def beat_now(self) -> None:
+        """Send a heartbeat to all peers at once."""
+        async with anyio.create_task_group() as group:
+            for link in list(self._links.values()):
+                group.start_soon(self._send, link, self._source.describe())
+
+    async def _send(self, link: PeerLink, message: Message) -> None:
+        try:
+            await link.ask(message, _REPLY_TIMEOUT_S)
+        except PeerLostError as error:
+            _log.debug('%s was not told: %s.', link.address, error)
+
+    def _link(self, address: str) -> None:
+        if address in self._links or address == self._own.peers:
+            return
+        if self._group is None:
+            return
+        host = parse_address(self._own.peers).host
+        link = PeerLink(parse_address(address), host, (self._secret,))
+        self._links[address] = link
+        self._known_s[address] = self._clock.now_s()
+        self._scopes[address] = anyio.CancelScope()
+        self._group.start_soon(self._keep, link, self._scopes[address])
+
+    async def _keep(self, link: PeerLink, scope: anyio.CancelScope) -> None:
+        with scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(link.run)
+                group.start_soon(self._beat, link)
+
+    async def _beat(self, link: PeerLink) -> None:
+        missed = 0
+        while True:
+            await anyio.sleep(_BEAT_S)
+            try:
+                reply = await link.ask(
+                    self._source.describe(),
+                    _REPLY_TIMEOUT_S,
+                )
+            except PeerLostError:
+                missed += 1
+                if missed >= _MAX_MISSED:
+                    await link.reset()
+                    missed = 0
+                continue
+            missed = 0
+            if isinstance(reply, FleetBeat):
+                self._hear(reply)
+
+    async def _answer(self, message: Message) -> Message:
+        if isinstance(message, FleetBeat):
+            self._hear(message)
+            return self._source.describe()
+        if isinstance(message, RowsRelay):
+            self._source.take_relay(message)
+        return Ok()
+
+    def _hear(self, beat: FleetBeat) -> None:
+        member = beat.member
+        if member.name == self._own.name:
+            return
+        now_s = self._clock.now_s()
+        peer = self._peers.get(member.name)
+        if peer is None:
+            peer = _Peer(member, store_answers=beat.store_answers)
+            self._peers[member.name] = peer
+        was = (peer.is_live, peer.member)
+        peer.member = member
+        peer.heard_s = now_s
+        peer.store_answers = beat.store_answers
+        peer.is_live = True
+        self._known_s[member.peers] = now_s
+        self._link(member.peers)
+        self._source.hear(beat)
+        if was != (True, member):
+            _log.info(
+                'Instance %s is alive, ready=%s leaving=%s.',
+                member.name,
+                member.ready,
+                member.leaving,
+            )
+            self.on_change()
+
+    def _sweep(self) -> None:
+        now_s = self._clock.now_s()
+        for name, peer in self._peers.items():
+            if peer.is_live and now_s - peer.heard_s > _LIVE_S:
+                peer.is_live = False
+                _log.warning('Instance %s has fallen silent.', name)
+                self._source.lose(name)
+                self.on_change()
+        for address, known_s in list(self._known_s.items()):
+            if now_s - known_s > _FORGET_S and address in self._links:
+                self._links.pop(address)
+                self._known_s.pop(address)
+                self._scopes.pop(address).cancel()
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/forwarding/_dialect.py
@@ -0,0 +1,55 @@
+"""How requests and answers look between this instance and targets."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from tamarackway_core.steering import LoadReport, TargetRecord
+
+from tamarackway_entry.forwarding._model import ForwardRequest
+from tamarackway_entry.upstream import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a target says beside its answer.
+
+    :param not_run: whether it refused the request and did not run it.
+    :param other_target: whether another target has taken the address.
+    :param genuine: whether the answer bears the target's signature.
+    :param load: load of the target, if it tells.
+    :param max_idle_s: how long it keeps the connection open, if it tells.
+    """
+
+    not_run: bool
+    other_target: bool
+    genuine: bool
+    load: LoadReport | None = None
+    max_idle_s: float | None = None
+
+
+class Dialect(Protocol):
+    """Writes requests for targets and reads what they answer."""
+
+    def write(
+        self,
+        request: ForwardRequest,
+        target: TargetRecord,
+        patience_s: float,
+    ) -> bytes:
+        """Return the bytes of a request.
+
+        :param request: the request.
+        :param target: the target that alone may run it.
+        :param patience_s: time that is left for it.
+        """
+
+    def belongs(self, answer: Answer, request_id: str) -> bool | None:
+        """Return whether an answer is the one to a request.
+
+        :param answer: what came on the connection.
+        :param request_id: identifier of the request.
+        :returns: None if the answer does not tell.
+        """
+
+    def read(self, answer: Answer) -> Reply:
+        """Return what a target says beside its answer."""
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -0,0 +1,284 @@
+"""Decides on one request until it has an answer."""
+
+import hashlib
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from tamarackway_core.quarantine import Loss
+from tamarackway_core.steering import (
+    Candidate,
+    Route,
+    ServicePolicy,
+    Wish,
+    pick_service,
+)
+
+from tamarackway_entry.forwarding._model import (
+    ForwardAnswer,
+    ForwardRequest,
+    Origin,
+)
+from tamarackway_entry.forwarding._sender import (
+    Attempt,
+    TargetSender,
+    Verdict,
+)
+from tamarackway_entry.forwarding._state import SteeringState
+from tamarackway_entry.kernel import Clock
+
+_NOT_FOUND: Final = 404
+_BAD_GATEWAY: Final = 502
+_UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
+_RETRY_AFTER_S: Final = 0.2  # a target usually frees a slot within that time
+_FINGERPRINT_BYTES: Final = 16
+_START_RETRY_S: Final = 0.5
+_LEAST_LEFT_S: Final = 0.02  # less cannot bring an answer back
+
+
+@dataclass(slots=True)
+class Passage:
+    """One request on its way, and what was tried for it.
+
+    :param request: the request.
+    :param route: its route.
+    :param wish: what it wants of a target.
+    :param ends_s: monotonic time at which it must have its answer.
+    :param gone: set once the caller has left.
+    :param tried: targets that got it or could not.
+    :param sent: targets that it was sent to.
+    :param may_have_run: whether one of them may have run it.
+    :param trail: what was tried, for logs.
+    """
+
+    request: ForwardRequest
+    route: Route
+    wish: Wish
+    ends_s: float
+    gone: anyio.Event
+    tried: set[str] = field(default_factory=set)
+    sent: int = 0
+    may_have_run: bool = False
+    trail: list[str] = field(default_factory=list)
+
+
+Record = Callable[[ForwardRequest, ForwardAnswer, Passage | None], None]
+
+
+class Forwarder:
+    """Forwards requests to targets.
+
+    :param state: what this instance knows.
+    :param sender: sends requests to targets.
+    :param clock: clocks of the daemon.
+    :param record: is told how each request ended.
+    """
+
+    def __init__(
+        self,
+        state: SteeringState,
+        sender: TargetSender,
+        clock: Clock,
+        record: Record,
+    ) -> None:
+        """Remember the parts."""
+        self._state = state
+        self._sender = sender
+        self._clock = clock
+        self._record = record
+
+    async def serve(
+        self,
+        request: ForwardRequest,
+        gone: anyio.Event,
+    ) -> ForwardAnswer:
+        """Return the answer to a request.
+
+        :param request: the request.
+        :param gone: set once the caller has left. Then nothing more is sent
+            to targets, and what may run twice is stopped there.
+        """
+        passage = None
+        answer = self._refuse_early(request)
+        if answer is None:
+            passage = self._begin(request, gone)
+            answer = await self._pass_on(passage)
+        self._record(request, answer, passage)
+        return answer
+
+    def _refuse_early(self, request: ForwardRequest) -> ForwardAnswer | None:
+        if self._state.configuration is None:
+            return _refuse('no configuration is known yet', _START_RETRY_S)
+        route = self._state.routes.find(request.host, request.path)
+        if route is None:
+            reason = 'no route matches'
+            return ForwardAnswer(_NOT_FOUND, Origin.FAILURE, reason=reason)
+        digest = _fingerprint(request)
+        if self._state.quarantine.is_quarantined(digest, self._clock.now_s()):
+            return _refuse('targets died while they ran this request', 0)
+        return None
+
+    def _begin(
+        self,
+        request: ForwardRequest,
+        gone: anyio.Event,
+    ) -> Passage:
+        route = self._state.routes.find(request.host, request.path)
+        if route is None:
+            raise LookupError('the route was checked before')
+        service = pick_service(route.shares, random.random())  # ruff: ignore[suspicious-non-cryptographic-random-usage]
+        now_s = self._clock.now_s()
+        self._state.demand.count(service, now_s)
+        self._state.budget(service).count_request(now_s)
+        wish = Wish(
+            service,
+            request.key if route.sticky else '',
+            route.home_regions,
+        )
+        limit_s = min(route.timeout_s, request.patience_s)
+        ends_s = request.received_s + limit_s
+        return Passage(request, route, wish, ends_s, gone)
+
+    async def _pass_on(self, passage: Passage) -> ForwardAnswer:
+        while True:
+            left_s = passage.ends_s - self._clock.now_s()
+            if passage.gone.is_set():
+                return self._give_up(passage, 'the caller has left')
+            if left_s < _LEAST_LEFT_S:
+                return self._give_up(passage, 'the time is over')
+            chosen = self._choose(passage)
+            if chosen is None:
+                return self._give_up(passage, 'no target is free for it')
+            attempt = await self._attempt(passage, chosen, left_s)
+            answer = self._conclude(passage, attempt)
+            if answer is not None:
+                return answer
+
+    def _choose(self, passage: Passage) -> Candidate | None:
+        return self._state.chooser.choose(
+            passage.wish,
+            self._policy(passage),
+            passage.tried,
+            self._clock.now_s(),
+        )
+
+    async def _attempt(
+        self,
+        passage: Passage,
+        chosen: Candidate,
+        left_s: float,
+    ) -> Attempt:
+        name = chosen.record.name
+        self._state.chooser.record_send(
+            chosen,
+            passage.wish.key,
+            self._clock.now_s(),
+        )
+        passage.tried.add(name)
+        attempt = await self._send(passage, chosen, left_s)
+        if attempt.verdict != Verdict.NOT_SENT:
+            passage.sent += 1
+        passage.may_have_run |= attempt.may_have_run
+        passage.trail.append(f'{name} {attempt.verdict} {attempt.problem}')
+        if attempt.verdict == Verdict.LOST:
+            self._sender.suspect(chosen, self._loss(passage, chosen))
+        return attempt
+
+    async def _send(
+        self,
+        passage: Passage,
+        chosen: Candidate,
+        left_s: float,
+    ) -> Attempt:
+        request = passage.request
+        if not passage.route.idempotent:
+            # Its run cannot be repeated, so it may as well end.
+            return await self._sender.send(request, chosen, left_s, once=True)
+        attempt = Attempt(Verdict.ABANDONED, problem='the caller has left')
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_once_gone, passage.gone, group)
+            attempt = await self._sender.send(
+                request,
+                chosen,
+                left_s,
+                once=False,
+            )
+            group.cancel_scope.cancel()
+        return attempt
+
+    def _conclude(
+        self,
+        passage: Passage,
+        attempt: Attempt,
+    ) -> ForwardAnswer | None:
+        """Return the answer, or None if another target may be tried."""
+        if attempt.verdict == Verdict.ANSWERED and attempt.answer is not None:
+            if attempt.failed and self._may_repeat(passage):
+                return None
+            self._state.quarantine.clear(_fingerprint(passage.request))
+            found = attempt.answer
+            return ForwardAnswer(
+                found.status,
+                Origin.TARGET,
+                found.headers,
+                found.body,
+            )
+        if attempt.verdict in {Verdict.TIMED_OUT, Verdict.ABANDONED}:
+            return self._give_up(passage, attempt.problem)
+        if attempt.verdict == Verdict.NOT_SENT:
+            return None
+        if self._may_repeat(passage):
+            return None
+        return self._give_up(passage, attempt.problem)
+
+    def _may_repeat(self, passage: Passage) -> bool:
+        if passage.may_have_run and not passage.route.idempotent:
+            return False
+        if passage.sent >= passage.route.max_attempts:
+            return False
+        budget = self._state.budget(passage.wish.service)
+        return budget.take(self._state.chooser.instances, self._clock.now_s())
+
+    def _give_up(self, passage: Passage, reason: str) -> ForwardAnswer:
+        if not passage.may_have_run:
+            return _refuse(reason, _RETRY_AFTER_S)
+        late = self._clock.now_s() >= passage.ends_s - _LEAST_LEFT_S
+        status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
+        return ForwardAnswer(status, Origin.FAILURE, reason=reason)
+
+    def _policy(self, passage: Passage) -> ServicePolicy:
+        return self._state.policy(passage.wish.service)
+
+    def _loss(self, passage: Passage, chosen: Candidate) -> Loss:
+        return Loss(
+            _fingerprint(passage.request),
+            chosen.record.name,
+            chosen.record.incarnation,
+        )
+
+
+async def _cancel_once_gone(gone: anyio.Event, group: TaskGroup) -> None:
+    await gone.wait()
+    group.cancel_scope.cancel()
+
+
+def _refuse(reason: str, retry_after_s: float) -> ForwardAnswer:
+    return ForwardAnswer(
+        _UNAVAILABLE,
+        Origin.REFUSAL,
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _fingerprint(request: ForwardRequest) -> str:
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    digest.update(f'{request.method} {request.host} '.encode())
+    digest.update(request.resource)
+    digest.update(request.key.encode())
+    digest.update(request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/forwarding/_record.py
@@ -0,0 +1,74 @@
+"""Logs and counts how requests ended."""
+
+from typing import Final
+
+from tamarackway_entry.forwarding._forwarder import Passage
+from tamarackway_entry.forwarding._model import (
+    ForwardAnswer,
+    ForwardRequest,
+    Origin,
+)
+from tamarackway_entry.forwarding._state import SteeringState
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.telemetry import Metrics, part_logger
+
+_MS_PER_S: Final = 1000
+_SERVER_ERROR: Final = 500
+_NO_SERVICE: Final = '-'
+_log = part_logger('request')
+
+
+class RequestRecorder:
+    """Writes one line for each request and counts it.
+
+    :param state: what this instance knows.
+    :param metrics: metrics of the daemon.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        state: SteeringState,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        """Remember the parts."""
+        self._state = state
+        self._metrics = metrics
+        self._clock = clock
+
+    def record(
+        self,
+        request: ForwardRequest,
+        answer: ForwardAnswer,
+        passage: Passage | None,
+    ) -> None:
+        """Record the end of a request.
+
+        :param request: the request.
+        :param answer: what its caller gets.
+        :param passage: what was tried, or None if nothing was.
+        """
+        elapsed_s = self._clock.now_s() - request.received_s
+        service = passage.wish.service if passage else _NO_SERVICE
+        outcome = str(answer.origin)
+        self._metrics.latency_s.labels(service, outcome).observe(elapsed_s)
+        if answer.origin != Origin.TARGET:
+            self._metrics.refusals.labels(service, answer.reason).inc()
+        configuration = self._state.configuration
+        details = {
+            'request_id': request.request_id,
+            'route': passage.route.name if passage else '',
+            'service': service,
+            'status': answer.status,
+            'outcome': outcome,
+            'reason': answer.reason,
+            'elapsed_ms': round(elapsed_s * _MS_PER_S, 1),
+            'configuration': configuration.version if configuration else 0,
+            'trail': passage.trail if passage else (),
+        }
+        ended_badly = (
+            answer.origin != Origin.TARGET or answer.status >= _SERVER_ERROR
+        )
+        write = _log.warning if ended_badly else _log.info
+        write('Request ended.', extra=details)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -0,0 +1,287 @@
+"""Sends one request to one target."""
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from tamarackway_core.quarantine import Loss
+from tamarackway_core.steering import Candidate
+
+from tamarackway_entry.forwarding._dialect import Dialect, Reply
+from tamarackway_entry.forwarding._model import ForwardRequest
+from tamarackway_entry.forwarding._state import SteeringState
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.telemetry import part_logger
+from tamarackway_entry.upstream import (
+    Answer,
+    BadAnswerError,
+    Connection,
+    IdlePool,
+    LostError,
+    NotSentError,
+    connect,
+)
+
+_CONNECT_TIMEOUT_S: Final = 0.4  # several round trips between far regions
+_MAX_IDLE_S: Final = 4.0  # under the shortest idle timeout of targets
+_MAX_IDLE_ONCE_S: Final = 2.0  # a request that runs once may not be eaten
+_IDLE_MARGIN_S: Final = 1.0
+_MAX_SUSPECTS: Final = 64
+_log = part_logger('targets')
+_OK: Final = 200
+_FIRST_REDIRECT: Final = 300
+_SERVER_ERROR: Final = 500
+
+
+class Verdict(enum.StrEnum):
+    """How an attempt at a target ended."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    NOT_SENT = 'not-sent'
+    LOST = 'lost'
+    TIMED_OUT = 'timed-out'
+    ABANDONED = 'abandoned'
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """The end of an attempt.
+
+    :param verdict: how it ended.
+    :param answer: answer of the target, if there is one.
+    :param reply: what the target said beside it.
+    :param problem: what went wrong, for logs.
+    """
+
+    verdict: Verdict
+    answer: Answer | None = None
+    reply: Reply | None = None
+    problem: str = ''
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have run the request."""
+        return self.verdict not in {Verdict.REFUSED, Verdict.NOT_SENT}
+
+    @property
+    def failed(self) -> bool:
+        """Whether the target itself failed the request."""
+        if self.answer is None or self.verdict == Verdict.REFUSED:
+            return False
+        return self.answer.status >= _SERVER_ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class _Suspect:
+    chosen: Candidate
+    loss: Loss
+
+
+class TargetSender:
+    """Keeps connections to targets and sends requests over them.
+
+    :param state: what this instance knows.
+    :param dialect: how requests look to targets.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        state: SteeringState,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
+        """Start without connections."""
+        self._state = state
+        self._dialect = dialect
+        self._clock = clock
+        self._pools: dict[str, IdlePool] = {}
+        self._max_idle_s: dict[str, float] = {}
+        self._suspects: deque[_Suspect] = deque(maxlen=_MAX_SUSPECTS)
+        self._suspected = anyio.Event()
+
+    async def send(
+        self,
+        request: ForwardRequest,
+        chosen: Candidate,
+        left_s: float,
+        *,
+        once: bool,
+    ) -> Attempt:
+        """Send a request and return how that ended.
+
+        :param request: the request.
+        :param chosen: the target.
+        :param left_s: longest wait for the answer.
+        :param once: whether the request must not run twice.
+        """
+        chosen.observed.in_flight += 1
+        started_s = self._clock.now_s()
+        try:
+            with anyio.fail_after(left_s):
+                attempt = await self._exchange(
+                    request, chosen, left_s, once=once
+                )
+        except NotSentError as error:
+            attempt = Attempt(Verdict.NOT_SENT, problem=str(error))
+        except (LostError, BadAnswerError) as error:
+            attempt = Attempt(Verdict.LOST, problem=str(error))
+        except TimeoutError:
+            attempt = Attempt(Verdict.TIMED_OUT, problem='no answer in time')
+        finally:
+            chosen.observed.in_flight -= 1
+        self._learn(chosen, attempt, started_s, request.key)
+        return attempt
+
+    def suspect(self, chosen: Candidate, loss: Loss) -> None:
+        """Find out whether a target died of a request.
+
+        :param chosen: the target, whose connection ended during the request.
+        :param loss: what to report if it does not accept a new connection.
+        """
+        self._suspects.append(_Suspect(chosen, loss))
+        self._suspected.set()
+
+    async def run(self) -> None:
+        """Connect to suspected targets until cancelled."""
+        while True:
+            await self._suspected.wait()
+            self._suspected = anyio.Event()
+            async with anyio.create_task_group() as group:
+                while self._suspects:
+                    group.start_soon(self._check, self._suspects.popleft())
+
+    def forget(self, names: frozenset[str]) -> None:
+        """Close connections to targets that are gone.
+
+        :param names: targets that still exist.
+        """
+        for name in self._pools.keys() - names:
+            self._pools.pop(name).close()
+
+    async def _check(self, suspect: _Suspect) -> None:
+        chosen = suspect.chosen
+        now_s = self._clock.now_s()
+        if chosen.observed.is_ejected(now_s):
+            self._state.quarantine.report(suspect.loss, now_s)
+            return
+        try:
+            connection = await self._connect(chosen)
+        except NotSentError as error:
+            _log.warning('Target %s is lost: %s.', chosen.record.name, error)
+            now_s = self._clock.now_s()
+            chosen.observed.fail(now_s)
+            self._state.quarantine.report(suspect.loss, now_s)
+            return
+        connection.close()
+
+    async def _exchange(
+        self,
+        request: ForwardRequest,
+        chosen: Candidate,
+        left_s: float,
+        *,
+        once: bool,
+    ) -> Attempt:
+        name = chosen.record.name
+        pool = self._pools.setdefault(name, IdlePool())
+        limit_s = _MAX_IDLE_ONCE_S if once else _MAX_IDLE_S
+        max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
+        connection = pool.take(max_idle_s, self._clock.now_s())
+        if connection is None:
+            connection = await self._connect(chosen)
+        try:
+            answer = await connection.exchange(
+                self._dialect.write(request, chosen.record, left_s),
+                lambda found: self._accept(found, request, connection),
+            )
+        except BaseException:
+            connection.close()
+            raise
+        pool.give_back(connection, self._clock.now_s())
+        return self._judge(chosen, answer)
+
+    def _accept(
+        self,
+        answer: Answer,
+        request: ForwardRequest,
+        connection: Connection,
+    ) -> bool:
+        belongs = self._dialect.belongs(answer, request.request_id)
+        # Only on a new connection can no earlier answer be under way.
+        return connection.is_first if belongs is None else belongs
+
+    def _judge(self, chosen: Candidate, answer: Answer) -> Attempt:
+        reply = self._dialect.read(answer)
+        if reply.max_idle_s is not None:
+            keep_s = max(reply.max_idle_s - _IDLE_MARGIN_S, 0)
+            self._max_idle_s[chosen.record.name] = keep_s
+        if reply.load is not None:
+            chosen.observed.take_report(reply.load, self._clock.now_s())
+        if reply.not_run or reply.other_target:
+            return Attempt(Verdict.REFUSED, answer, reply, 'not run')
+        success = _OK <= answer.status < _FIRST_REDIRECT
+        if success and not reply.genuine:
+            return Attempt(Verdict.LOST, problem='the answer is not signed')
+        return Attempt(Verdict.ANSWERED, answer, reply)
+
+    async def _connect(self, chosen: Candidate) -> Connection:
+        record = chosen.record
+        started_s = self._clock.now_s()
+        try:
+            with anyio.fail_after(_CONNECT_TIMEOUT_S):
+                connection = await connect(record.address)
+        except TimeoutError as error:
+            raise NotSentError(f'{record.address} does not accept') from error
+        elapsed_s = self._clock.now_s() - started_s
+        self._state.chooser.learn_distance(record.place.region, elapsed_s)
+        return connection
+
+    def _learn(
+        self,
+        chosen: Candidate,
+        attempt: Attempt,
+        started_s: float,
+        key: str,
+    ) -> None:
+        now_s = self._clock.now_s()
+        observed = chosen.observed
+        if attempt.verdict == Verdict.REFUSED:
+            observed.shed()
+            if attempt.reply is not None and attempt.reply.other_target:
+                observed.fail(now_s)
+            return
+        if attempt.verdict == Verdict.ANSWERED:
+            distance_s = self._state.chooser.distance_s(
+                chosen.record.place.region,
+            )
+            run_s = max(now_s - started_s - distance_s, 0)
+            self._learn_run(chosen, run_s, now_s, key)
+            return
+        self._pools.pop(chosen.record.name, IdlePool()).close()
+        if attempt.verdict == Verdict.NOT_SENT:
+            wait_s = observed.fail(now_s)
+            _log.warning(
+                'Target %s is out for %.1f s: %s.',
+                chosen.record.name,
+                wait_s,
+                attempt.problem,
+            )
+
+    def _learn_run(
+        self,
+        chosen: Candidate,
+        run_s: float,
+        now_s: float,
+        key: str,
+    ) -> None:
+        service = chosen.record.service
+        work = self._state.work
+        warm = chosen.warm and bool(key)
+        usual_s = work.warm_s(service) if warm else work.cold_s(service)
+        chosen.observed.succeed(run_s / usual_s, now_s)
+        if not chosen.cold:
+            work.learn(service, run_s, warm=warm)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -0,0 +1,89 @@
+"""What this instance knows: configuration, targets and observations."""
+
+from tamarackway_core.quarantine import QuarantineRegister
+from tamarackway_core.steering import (
+    Catalogue,
+    Chooser,
+    Configuration,
+    Demand,
+    Observations,
+    RepeatBudget,
+    RouteTable,
+    ServicePolicy,
+    WorkTimes,
+)
+
+from tamarackway_entry.forwarding._bounds import SteeringBounds
+
+
+class SteeringState:
+    """Everything that a decision on a request rests on.
+
+    :param region: region of this instance.
+    :param bounds: bounds of the platform.
+    """
+
+    def __init__(self, region: str, bounds: SteeringBounds) -> None:
+        """Start without a configuration."""
+        self.bounds = bounds
+        self.configuration: Configuration | None = None
+        self.routes = RouteTable(())
+        self.catalogue = Catalogue()
+        self.observations = Observations()
+        self.work = WorkTimes()
+        self.demand = Demand(region)
+        self.quarantine = QuarantineRegister()
+        self.chooser = Chooser(
+            region,
+            self.catalogue,
+            self.observations,
+            self.work,
+            self.demand,
+        )
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def configure(self, configuration: Configuration) -> bool:
+        """Take a configuration unless it is older, and tell whether.
+
+        :param configuration: an accepted configuration.
+        """
+        known = self.configuration
+        if known is not None and known.version >= configuration.version:
+            return False
+        self.configuration = configuration
+        self.routes = RouteTable(configuration.routes)
+        return True
+
+    def policy(self, service: str) -> ServicePolicy:
+        """Return the operator's policy for a service, with its cold bound."""
+        known = None
+        if self.configuration is not None:
+            known = self.configuration.services.get(service)
+        if known is None:
+            return ServicePolicy(service)
+        borne = known.cold_per_s * self.bounds.cold_multiplier
+        return ServicePolicy(
+            service,
+            known.max_connections,
+            known.cold_s,
+            borne + self.bounds.cold_extra,
+        )
+
+    def longest_cold_s(self) -> float:
+        """Return the longest time that a target of any service is cold."""
+        if self.configuration is None:
+            return 0
+        services = self.configuration.services.values()
+        return max((policy.cold_s for policy in services), default=0)
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeats of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RepeatBudget(
+                self.bounds.repeat_window_s,
+                self.bounds.repeat_ratio,
+                self.bounds.repeat_extra,
+            )
+            self._budgets[service] = budget
+        return budget
--- a/packages/entry/src/tamarackway_entry/http/_pool.py
+++ b/packages/entry/src/tamarackway_entry/http/_pool.py
@@ -8,7 +8,7 @@
 import httpcore
 from tamarackway_core.places import Address
 
-from tamarackway_entry.http._errors import (
+from tamarackway_entry.upstream import (
     BadAnswerError,
     LostError,
     NotSentError,
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/instance/__init__.py
@@ -0,0 +1,7 @@
+"""This entry instance among the others, and its housekeeping."""
+
+from tamarackway_entry.instance._housekeeping import (
+    Housekeeping as Housekeeping,
+)
+from tamarackway_entry.instance._instance import EntryInstance as EntryInstance
+from tamarackway_entry.instance._serving import ServerService as ServerService
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -0,0 +1,109 @@
+"""What this instance tells the others, and what it learns from them."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay
+
+from tamarackway_entry.fleet import list_entries
+from tamarackway_entry.following import FollowService
+from tamarackway_entry.forwarding import SteeringState
+from tamarackway_entry.kernel import Clock
+from tamarackway_entry.lifecycle import Lifecycle
+
+
+class EntryInstance:
+    """Describes this instance and takes in what others know.
+
+    :param own: this instance, not ready yet.
+    :param state: what this instance knows.
+    :param follow: the tables that it follows.
+    :param lifecycle: whether it is about to stop.
+    :param clock: clocks of the daemon.
+    """
+
+    def __init__(
+        self,
+        own: FleetMember,
+        state: SteeringState,
+        follow: FollowService,
+        lifecycle: Lifecycle,
+        clock: Clock,
+    ) -> None:
+        """Start alone."""
+        self._own = own
+        self._state = state
+        self._follow = follow
+        self._lifecycle = lifecycle
+        self._clock = clock
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        knows = self._follow.is_loaded and self._state.configuration is not None
+        return knows and not self._lifecycle.is_leaving
+
+    def describe(self) -> FleetBeat:
+        """Return the heartbeat of this moment."""
+        now_s = self._clock.now_s()
+        return FleetBeat(
+            member=self._describe_member(),
+            positions=self._follow.positions(),
+            ages_s=self._follow.ages_s(),
+            store_answers=self._follow.store_answers,
+            rates=self._state.demand.own_rates(now_s),
+            losses=self._state.quarantine.list_recent(now_s),
+        )
+
+    def hear(self, beat: FleetBeat) -> None:
+        """Take in the heartbeat of a peer."""
+        for table, position in beat.positions.items():
+            age_s = beat.ages_s.get(table)
+            if age_s is not None:
+                self._follow.compare(table, position, age_s)
+        self._state.demand.hear(
+            beat.member.name,
+            beat.member.region,
+            beat.rates,
+        )
+        now_s = self._clock.now_s()
+        for loss in beat.losses:
+            self._state.quarantine.report(loss, now_s)
+
+    def take_relay(self, relay: RowsRelay) -> None:
+        """Take changed rows that a peer passes on."""
+        self._follow.take_relay(relay)
+
+    def lose(self, name: str) -> None:
+        """Take in that a peer fell silent."""
+        self._state.demand.forget(name)
+
+    def count_fleet(self, peers: Sequence[FleetMember]) -> None:
+        """Take in who is alive, for what all instances share.
+
+        :param peers: the other instances that are alive.
+        """
+        names = sorted([self._own.name, *(peer.name for peer in peers)])
+        self._state.chooser.instances = len(names)
+        self._state.chooser.position = names.index(self._own.name)
+
+    def list_entries(
+        self,
+        peers: Sequence[FleetMember],
+        region: str,
+        limit: int,
+    ) -> Sequence[FleetMember]:
+        """Return the instances that a caller should use.
+
+        :param peers: the other instances that are alive.
+        :param region: region of the caller.
+        :param limit: most instances to return.
+        """
+        return list_entries([*peers, self._describe_member()], region, limit)
+
+    def _describe_member(self) -> FleetMember:
+        return dataclasses.replace(
+            self._own,
+            ready=self.is_ready,
+            leaving=self._lifecycle.is_leaving,
+        )
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/instance/_serving.py
@@ -0,0 +1,33 @@
+"""Runs one HTTP server until the instance stops."""
+
+from typing import Any
+
+from tamarackway_core.places import Address
+
+from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.serving import HttpServer
+
+
+class ServerService:
+    """Serves one application on one address.
+
+    :param app: the ASGI application.
+    :param address: address to listen on.
+    :param lifecycle: stops the server.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        address: Address,
+        lifecycle: Lifecycle,
+    ) -> None:
+        """Remember where to listen."""
+        self.server = HttpServer(app, address, None)
+        self._lifecycle = lifecycle
+        lifecycle.on_stop(self.server.stop_accepting)
+
+    async def run(self) -> None:
+        """Serve until the instance stops."""
+        with self._lifecycle.count_server():
+            await self.server.serve()
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/links/__init__.py
@@ -0,0 +1,5 @@
+"""Authenticated connections between entry instances."""
+
+from tamarackway_entry.links._link import PeerLink as PeerLink
+from tamarackway_entry.links._link import PeerLostError as PeerLostError
+from tamarackway_entry.links._server import PeerServer as PeerServer
--- a/packages/entry/src/tamarackway_entry/peers/_link.py
+++ b/packages/entry/src/tamarackway_entry/links/_link.py
@@ -19,7 +19,7 @@
 )
 from websockets.asyncio.client import ClientConnection, connect
 
-from tamarackway_entry.peers._auth import prove
+from tamarackway_entry.links._auth import prove
 from tamarackway_entry.telemetry import part_logger
 
 _CONNECT_TIMEOUT_S: Final = 2.0
--- a/packages/entry/src/tamarackway_entry/peers/_server.py
+++ b/packages/entry/src/tamarackway_entry/links/_server.py
@@ -16,7 +16,7 @@
 )
 from websockets.asyncio.server import ServerConnection, serve
 
-from tamarackway_entry.peers._auth import prove
+from tamarackway_entry.links._auth import prove
 from tamarackway_entry.telemetry import part_logger
 
 _OPEN_TIMEOUT_S: Final = 2.0
--- a/packages/entry/src/tamarackway_entry/peers/_service.py
+++ b/packages/entry/src/tamarackway_entry/peers/_service.py
@@ -10,8 +10,7 @@
 from tamarackway_core.wire import Heartbeat, Message, Ok
 
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.peers._link import PeerLink, PeerLostError
-from tamarackway_entry.peers._server import PeerServer
+from tamarackway_entry.links import PeerLink, PeerLostError, PeerServer
 from tamarackway_entry.platform import InventoryService
 from tamarackway_entry.settings import Settings
 from tamarackway_entry.telemetry import Metrics, part_logger
--- a/packages/entry/src/tamarackway_entry/platform/__init__.py
+++ b/packages/entry/src/tamarackway_entry/platform/__init__.py
@@ -1,11 +1,5 @@
 """Clients of the platform: table service, object store and instance list."""
 
-from tamarackway_entry.platform._errors import (
-    StoreInDoubtError as StoreInDoubtError,
-)
-from tamarackway_entry.platform._errors import (
-    StoreUnavailableError as StoreUnavailableError,
-)
 from tamarackway_entry.platform._inventory import (
     InventoryService as InventoryService,
 )
@@ -16,3 +10,9 @@
 from tamarackway_entry.platform._table import Operation as Operation
 from tamarackway_entry.platform._table import Row as Row
 from tamarackway_entry.platform._table import TableService as TableService
+from tamarackway_entry.store import (
+    StoreInDoubtError as StoreInDoubtError,
+)
+from tamarackway_entry.store import (
+    StoreUnavailableError as StoreUnavailableError,
+)
--- a/packages/entry/src/tamarackway_entry/platform/_objects.py
+++ b/packages/entry/src/tamarackway_entry/platform/_objects.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from tamarackway_entry.http import ConnectionPool, HttpError, HttpRequest
-from tamarackway_entry.platform._errors import StoreUnavailableError
+from tamarackway_entry.store import StoreUnavailableError
 
 _OK: Final = 200
 _NO_CONTENT: Final = 204
--- a/packages/entry/src/tamarackway_entry/platform/_table.py
+++ b/packages/entry/src/tamarackway_entry/platform/_table.py
@@ -20,7 +20,7 @@
     TimedOutError,
 )
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.platform._errors import (
+from tamarackway_entry.store import (
     StoreInDoubtError,
     StoreUnavailableError,
 )
--- a/packages/entry/src/tamarackway_entry/http/_server.py
+++ b/packages/entry/src/tamarackway_entry/serving/_server.py
@@ -8,6 +8,7 @@
 from tamarackway_core.places import Address
 
 _KEEP_ALIVE_S: Final = 5
+_BACKLOG: Final = 1024
 
 
 class HttpServer(uvicorn.Server):
@@ -15,14 +16,17 @@
 
     :param app: the application.
     :param address: address to listen on.
-    :param max_connections: requests and connections that may be open at once.
+    :param max_connections: requests and connections that may be open at once,
+        or None for no limit.
+    :param keep_alive_s: time after which an idle connection is closed.
     """
 
     def __init__(
         self,
         app: Any,
         address: Address,
-        max_connections: int,
+        max_connections: int | None,
+        keep_alive_s: int = _KEEP_ALIVE_S,
     ) -> None:
         """Configure uvicorn."""
         super().__init__(
@@ -40,7 +44,8 @@
                 date_header=False,
                 proxy_headers=False,
                 limit_concurrency=max_connections,
-                timeout_keep_alive=_KEEP_ALIVE_S,
+                timeout_keep_alive=keep_alive_s,
+                backlog=_BACKLOG,
             ),
         )
 
@@ -49,6 +54,13 @@
         """Leave the signals to the daemon."""
         yield
 
+    def keep_idle(self, keep_alive_s: int) -> None:
+        """Change the idle timeout of connections that open from now on.
+
+        :param keep_alive_s: time after which an idle connection is closed.
+        """
+        self.config.timeout_keep_alive = keep_alive_s
+
     def stop_accepting(self) -> None:
         """Close the listening socket and end once nothing is in flight."""
         self.should_exit = True
--- a/packages/entry/src/tamarackway_entry/platform/_errors.py
+++ b/packages/entry/src/tamarackway_entry/store/_errors.py
@@ -17,3 +17,14 @@
     def __init__(self, problem: str) -> None:
         """Name the remedy."""
         super().__init__(problem, 'read back what the call wrote')
+
+
+class HistoryGoneError(TamarackwayError):
+    """The store no longer knows what changed after a version."""
+
+    def __init__(self, table: str) -> None:
+        """Name the remedy."""
+        super().__init__(
+            f'the history of table {table!r} is gone',
+            'read the whole table again',
+        )
--- a/packages/entry/src/tamarackway_entry/telemetry/_logs.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_logs.py
@@ -7,6 +7,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from tamarackway_entry.telemetry._output import BoundedOutput
+
 
 class PartLogger(logging.LoggerAdapter[logging.Logger]):
     """Logger that puts the name of its part before each message."""
@@ -28,19 +30,21 @@
     return PartLogger(logging.getLogger(part))
 
 
-def set_up_logs(level: str, instance: str) -> None:
-    """Send the logs of all parts to standard error as JSON lines.
+def set_up_logs(level: str, instance: str) -> BoundedOutput:
+    """Send the logs of all parts to standard output as JSON lines.
 
     :param level: least severe level that is logged.
     :param instance: name of the instance, repeated on each line.
+    :returns: the handler, which counts the lines that it drops.
     """
     formatter = JsonFormatter(
         '{asctime}{levelname}{message}',
         style='{',
         static_fields={'instance': instance},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BoundedOutput(sys.stdout.fileno())
     handler.setFormatter(formatter)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     for noisy in ('websockets', 'uvicorn', 'httpcore'):
         logging.getLogger(noisy).setLevel(logging.CRITICAL)
+    return handler
--- a/packages/entry/src/tamarackway_entry/tests/test_parts.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_parts.py
@@ -8,7 +8,7 @@
 
 from tamarackway_entry.decisions import Decision, DecisionLog
 from tamarackway_entry.kernel import Kernel
-from tamarackway_entry.peers._auth import prove
+from tamarackway_entry.links._auth import prove
 from tamarackway_entry.routes import SlotQueue
 
 pytestmark = pytest.mark.anyio
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -0,0 +1,163 @@
+"""One HTTP/1.1 connection that carries one request at a time.
+
+httpcore cannot pass over an answer that belongs to an earlier request, nor
+tell a clean end of a body without a length from a reset. This connection
+does both, on the parser that the HTTP server uses as well.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from tamarackway_core.places import Address
+
+from tamarackway_entry.upstream._errors import (
+    BadAnswerError,
+    LostError,
+    NotSentError,
+)
+from tamarackway_entry.upstream._reader import Answer, AnswerReader
+
+_USER_TIMEOUT_MS: Final = 1500  # unacknowledged bytes show a silent path
+Accepts = Callable[[Answer], bool]
+
+
+class Connection(asyncio.Protocol):
+    """Sends a request and reads its answer.
+
+    Bytes that come while no answer is expected close the connection, since
+    what follows them could be taken for the answer to a later request.
+    """
+
+    def __init__(self) -> None:
+        """Start unconnected."""
+        self.reusable = False
+        self.idle_since_s: float = 0
+        self.is_first = True
+        self._transport: asyncio.Transport | None = None
+        self._reader = AnswerReader(self._begin, self._finish)
+        self._waiter: asyncio.Future[Answer] | None = None
+        self._accepts: Accepts | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can carry a request."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    async def exchange(self, request: bytes, accepts: Accepts) -> Answer:
+        """Send a request and return its answer.
+
+        :param request: all bytes of the request.
+        :param accepts: tells whether an answer belongs to this request;
+            others are passed over.
+        :raises NotSentError: if the connection had ended before.
+        :raises LostError: if it ended before the answer was whole.
+        :raises BadAnswerError: if what came is no answer.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise NotSentError('the connection has ended')
+        self.reusable = False
+        self._accepts = accepts
+        self._waiter = asyncio.get_running_loop().create_future()
+        transport.write(request)
+        try:
+            return await self._waiter
+        finally:
+            self._end_exchange()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open connection; called by the event loop."""
+        if isinstance(transport, asyncio.Transport):
+            self._transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what came; called by the event loop."""
+        if not self._waits():
+            self._spoil()
+            return
+        try:
+            self._reader.feed(received)
+        except BadAnswerError as error:
+            self._fail(error)
+            self._spoil()
+
+    def eof_received(self) -> bool:
+        """Take a clean end of the stream; called by the event loop."""
+        if self._waits():
+            self._reader.end_cleanly()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection; called by the event loop."""
+        self._transport = None
+        reason = exc or 'closed by the other side'
+        self._fail(LostError(f'the connection ended: {reason}'))
+
+    def _begin(self) -> None:
+        if not self._waits():
+            self._spoil()
+
+    def _finish(self, answer: Answer, keep: bool) -> None:
+        waiter = self._waiter
+        if waiter is None or waiter.done() or self._accepts is None:
+            self._spoil()
+            return
+        if self._accepts(answer):
+            self.reusable = keep and self._is_flushed()
+            waiter.set_result(answer)
+        elif not keep:
+            self._fail(LostError('only the answer to another request came'))
+
+    def _end_exchange(self) -> None:
+        self._waiter = None
+        self.is_first = False
+        if not self.reusable:
+            self.close()
+
+    def _is_flushed(self) -> bool:
+        transport = self._transport
+        return transport is not None and not transport.get_write_buffer_size()
+
+    def _waits(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def _fail(self, error: Exception) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+
+    def _spoil(self) -> None:
+        self.reusable = False
+        self.close()
+
+
+async def connect(address: Address) -> Connection:
+    """Return a new connection.
+
+    :param address: IP number and port of the server.
+    :raises NotSentError: if it cannot be opened.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        transport, connection = await loop.create_connection(
+            Connection,
+            address.host,
+            address.port,
+        )
+    except OSError as error:
+        raise NotSentError(f'{address}: {error}') from error
+    opened: socket.socket | None = transport.get_extra_info('socket')
+    if opened is not None:
+        opened.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS,
+        )
+    return connection
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/upstream/_pool.py
@@ -0,0 +1,52 @@
+"""Idle connections to one address."""
+
+from typing import Final
+
+from tamarackway_entry.upstream._connection import Connection
+
+_MAX_IDLE: Final = 16
+
+
+class IdlePool:
+    """Keeps connections between requests, the latest used first."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._idle: list[Connection] = []
+
+    def take(self, max_idle_s: float, now_s: float) -> Connection | None:
+        """Return an open connection, or None.
+
+        :param max_idle_s: longest time that it may have been idle.
+        :param now_s: monotonic time in seconds.
+
+        Older connections than that are closed.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if now_s - connection.idle_since_s > max_idle_s:
+                connection.close()
+                self.close()
+                return None
+            if connection.is_open:
+                return connection
+        return None
+
+    def give_back(self, connection: Connection, now_s: float) -> None:
+        """Keep a connection whose answer was whole.
+
+        :param connection: the connection.
+        :param now_s: monotonic time in seconds.
+        """
+        if not connection.reusable or not connection.is_open:
+            connection.close()
+            return
+        connection.idle_since_s = now_s
+        self._idle.append(connection)
+        if len(self._idle) > _MAX_IDLE:
+            self._idle.pop(0).close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().close()
