Sort run times by nearness, so warm targets keep their keys

Cause: a run at a target wrongly thought warm counted as slowness of the target, which turned its keys away to cold targets (44 % of look-ups left their first target at a load of one of three slots). Ruled out: slots (load 0.7 to 1.2 of 3), two copies of each key (crowds out).

--- a/packages/core/src/tamarackway_core/steering/_chooser.py
+++ b/packages/core/src/tamarackway_core/steering/_chooser.py
@@ -10,11 +10,14 @@
 from tamarackway_core.steering._model import ServicePolicy, TargetRecord
 from tamarackway_core.steering._observed import Observations, Observed
 from tamarackway_core.steering._ranking import prefer_region
-from tamarackway_core.steering._regions import split_demand
+from tamarackway_core.steering._regions import approach, split_demand
 from tamarackway_core.steering._work import WorkTimes
 
-_COPIES: Final = 2  # targets of a region that keep one key warm
+_COPIES: Final = 1  # more would crowd other keys out of targets' memory
 _SPLIT_LIFETIME_S: Final = 0.5
+_USED_SHIFT: Final = 0.5  # of the cap; the rest is left to single choices
+_MAX_RANK: Final = 3
+_AWAY_COST_S: Final = 0.03  # keeps requests in the region of their key
 _RANK_COST_S: Final = 0.01  # keeps a key on its first target when in doubt
 _LOAD_COST: Final = 0.35  # share of a run lost to unseen requests of others
 _SHED_COST_S: Final = 0.5
@@ -47,6 +50,7 @@
     :param warm: whether it is thought to know the key.
     :param cold: whether it has just started.
     :param load: requests that it probably holds.
+    :param rank: its place in the key's order within its region.
     """
 
     record: TargetRecord
@@ -55,6 +59,7 @@
     warm: bool
     cold: bool
     load: float
+    rank: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +94,7 @@
         self.cold_gate = ColdGate()
         self.instances = 1
         self.position = 0
+        self.max_shift_per_s: float = 1
         self._region = region
         self._catalogue = catalogue
         self._observations = observations
@@ -180,8 +186,9 @@
         cost_s *= _COLD_SLOWNESS if cold else 1
         cost_s += self.distance_s(record.place.region)
         cost_s += observed.sheds * _SHED_COST_S
-        cost_s += min(rank, _COPIES) * _RANK_COST_S
-        return Candidate(record, observed, cost_s, warm, cold, load)
+        cost_s += min(rank, _MAX_RANK) * _RANK_COST_S
+        cost_s += 0 if record.place.region == preferred else _AWAY_COST_S
+        return Candidate(record, observed, cost_s, warm, cold, load, rank)
 
     def _expect_s(
         self,
@@ -220,10 +227,23 @@
         place = (wish.service, wish.home_regions)
         split = self._splits.get(place)
         if split is None or now_s - split.made_s > _SPLIT_LIFETIME_S:
-            split = _Split(now_s, self._divide(wish, targets, now_s))
+            split = self._renew(split, wish, targets, now_s)
             self._splits[place] = split
         return prefer_region(wish.key, split.shares)
 
+    def _renew(
+        self,
+        split: _Split | None,
+        wish: Wish,
+        targets: tuple[TargetRecord, ...],
+        now_s: float,
+    ) -> _Split:
+        wanted = self._divide(wish, targets, now_s)
+        if split is None or not split.shares:
+            return _Split(now_s, wanted)
+        most = (now_s - split.made_s) * self.max_shift_per_s * _USED_SHIFT
+        return _Split(now_s, approach(split.shares, wanted, most))
+
     def _divide(
         self,
         wish: Wish,
--- a/packages/core/src/tamarackway_core/steering/_observed.py
+++ b/packages/core/src/tamarackway_core/steering/_observed.py
@@ -37,6 +37,7 @@
         self._others: float = 0
         self._usual_others: float = 0
         self._report_s = -math.inf
+        self._told_slowdown: float = 1
         self._keys: OrderedDict[str, float] = OrderedDict()
 
     def take_report(self, report: LoadReport, now_s: float) -> None:
@@ -48,6 +49,7 @@
         # The answered request itself is among the running ones.
         others = report.running + report.waiting - self.in_flight
         self._others = max(others, 0)
+        self._told_slowdown = report.slowdown
         self._usual_others += _AVERAGE_GAIN * (
             self._others - self._usual_others
         )
@@ -70,6 +72,11 @@
 
         :param now_s: monotonic time in seconds.
         """
+        trust = math.exp(-(now_s - self._report_s) / _REPORT_LIFETIME_S)
+        told = 1 + (self._told_slowdown - 1) * trust
+        return max(told, self._measured_slowness(now_s))
+
+    def _measured_slowness(self, now_s: float) -> float:
         age_s = now_s - self._slowness_s
         fade = math.exp(-age_s / _SLOWNESS_LIFETIME_S)
         return 1 + (self._slowness - 1) * fade
@@ -80,8 +87,8 @@
         :param ratio: its run time over the usual one.
         :param now_s: monotonic time in seconds.
         """
-        current = self.slowness(now_s)
-        bounded = min(ratio, _MAX_SLOWNESS)
+        current = self._measured_slowness(now_s)
+        bounded = min(max(ratio, 1), _MAX_SLOWNESS)
         self._slowness = current + _GAIN * (bounded - current)
         self._slowness_s = now_s
         self.failures = 0
--- a/packages/entry/src/tamarackway_entry/forwarding/_bounds.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_bounds.py
@@ -15,6 +15,8 @@
     :param cold_multiplier: factor on what a cold target bears a second.
     :param cold_extra: further requests a second that it bears.
     :param max_lookup_s: longest time that callers may keep a look-up.
+    :param max_shift_per_s: share of a region's requests that may change the
+        region in which they run, a second.
     """
 
     drain_s: float = 2.0
@@ -24,4 +26,5 @@
     repeat_extra: float = 0
     cold_multiplier: float = 1.0
     cold_extra: float = 0
-    max_lookup_s: float = 5.0
+    max_lookup_s: float = 5
+    max_shift_per_s: float = 1.0
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -179,11 +179,13 @@
             self._clock.now_s(),
         )
         passage.tried.add(name)
+        started_s = self._clock.now_s()
         attempt = await self._send(passage, chosen, left_s)
+        elapsed_s = self._clock.now_s() - started_s
         if attempt.verdict != Verdict.NOT_SENT:
             passage.sent += 1
         passage.may_have_run |= attempt.may_have_run
-        passage.trail.append(f'{name} {attempt.verdict} {attempt.problem}')
+        passage.trail.append(_describe(chosen, attempt, elapsed_s))
         if attempt.verdict == Verdict.LOST:
             self._sender.suspect(chosen, self._loss(passage, chosen))
         return attempt
@@ -261,6 +263,13 @@
         )
 
 
+def _describe(chosen: Candidate, attempt: Attempt, elapsed_s: float) -> str:
+    inputs = f'rank={chosen.rank} load={chosen.load:.1f} warm={chosen.warm}'
+    times = f'expected={chosen.cost_s:.3f}s took={elapsed_s:.3f}s'
+    where = f'{chosen.record.name} in {chosen.record.place.failure_domain}'
+    return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
+
+
 async def _cancel_once_gone(gone: anyio.Event, group: TaskGroup) -> None:
     await gone.wait()
     group.cancel_scope.cancel()
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -133,7 +133,7 @@
             attempt = Attempt(Verdict.TIMED_OUT, problem='no answer in time')
         finally:
             chosen.observed.in_flight -= 1
-        self._learn(chosen, attempt, started_s, request.key)
+        self._learn(chosen, attempt, started_s)
         return attempt
 
     def suspect(self, chosen: Candidate, loss: Loss) -> None:
@@ -245,7 +245,6 @@
         chosen: Candidate,
         attempt: Attempt,
         started_s: float,
-        key: str,
     ) -> None:
         now_s = self._clock.now_s()
         observed = chosen.observed
@@ -259,7 +258,7 @@
                 chosen.record.place.region,
             )
             run_s = max(now_s - started_s - distance_s, 0)
-            self._learn_run(chosen, run_s, now_s, key)
+            self._learn_run(chosen, run_s, now_s)
             return
         self._pools.pop(chosen.record.name, IdlePool()).close()
         if attempt.verdict == Verdict.NOT_SENT:
@@ -271,17 +270,9 @@
                 attempt.problem,
             )
 
-    def _learn_run(
-        self,
-        chosen: Candidate,
-        run_s: float,
-        now_s: float,
-        key: str,
-    ) -> None:
+    def _learn_run(self, chosen: Candidate, run_s: float, now_s: float) -> None:
         service = chosen.record.service
         work = self._state.work
-        warm = chosen.warm and bool(key)
-        usual_s = work.warm_s(service) if warm else work.cold_s(service)
-        chosen.observed.succeed(run_s / usual_s, now_s)
+        chosen.observed.succeed(run_s / work.usual_s(service, run_s), now_s)
         if not chosen.cold:
-            work.learn(service, run_s, warm=warm)
+            work.learn(service, run_s)
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -40,6 +40,7 @@
             self.work,
             self.demand,
         )
+        self.chooser.max_shift_per_s = bounds.max_shift_per_s
         self._budgets: dict[str, RepeatBudget] = {}
 
     def configure(self, configuration: Configuration) -> bool:
