Count only first-hand confirmations of followed tables

Relays also named the store's version, which writes to other tables move, so most were taken for gaps. Ruled out: lost links; all peers were heard throughout. Change: beats tell only what the store itself confirmed, relays and beats name the last change.

--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -35,8 +35,9 @@
     """Tells a peer that the sender is alive, and what it knows.
 
     :param member: the sender.
-    :param positions: version up to which it knows each table.
-    :param ages_s: time since the store last confirmed each table to it.
+    :param positions: version of the last change of each table that it knows.
+    :param ages_s: time since the store itself confirmed that to it; tables
+        that it only hears of from peers are left out.
     :param store_answers: whether the store answers the sender.
     :param rates: requests a second of callers by service.
     :param losses: targets that died lately while they ran a request.
@@ -71,7 +72,8 @@
     """Passes on changed rows of a followed table.
 
     :param table: name of the table.
-    :param after: version after which these are all changes.
+    :param after: version of the last change before these; who knows it has
+        missed none.
     :param position: version up to which these are all changes.
     :param rows: the changed rows in order.
     :param after_outage: whether the store had been away before.
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -96,38 +96,38 @@
         return all(progress.loaded for progress in self._progress.values())
 
     def positions(self) -> dict[str, int]:
-        """Return the version up to which each table is known."""
+        """Return the version of the last change known of each table."""
         return {
-            table: progress.position
+            table: progress.last_change
             for table, progress in self._progress.items()
             if progress.loaded
         }
 
     def ages_s(self) -> dict[str, float]:
-        """Return the time since each table was last confirmed."""
+        """Return the time since the store itself confirmed each table."""
         now_s = self._clock.now_s()
         return {
-            table: now_s - progress.confirmed_s
+            table: now_s - progress.polled_s
             for table, progress in self._progress.items()
-            if progress.loaded
+            if now_s - progress.polled_s < _STALE_S
         }
 
     def compare(
         self,
         table: str,
-        position: int,
+        last_change: int,
         age_s: float,
     ) -> None:
         """Take in how far a peer knows a table.
 
         :param table: name of the table.
-        :param position: version that the peer knows.
-        :param age_s: time since the store last confirmed it to the peer.
+        :param last_change: version of the last change that the peer knows.
+        :param age_s: time since the store itself confirmed it to the peer.
         """
         progress = self._progress.get(table)
         if progress is not None and progress.loaded:
             now_s = self._clock.now_s()
-            progress.compare(position, now_s - age_s, now_s)
+            progress.compare(last_change, now_s - age_s, now_s)
 
     def take_relay(self, relay: RowsRelay) -> None:
         """Take changes that a peer passes on.
@@ -147,7 +147,7 @@
                 rows,
                 after_outage=relay.after_outage,
             )
-        progress.advance(relay.position)
+        progress.advance(relay.position, _last_version(relay.rows))
 
     async def run(self) -> None:
         """Follow all tables until cancelled."""
@@ -196,9 +196,8 @@
                 found.rows,
                 after_outage=after_outage,
             )
-        progress.advance(found.position)
-        progress.confirm(self._clock.now_s())
-        progress.behind_since_s = math.inf
+        progress.advance(found.position, _last_version(found.rows))
+        progress.confirm_by_poll(self._clock.now_s())
 
     def _pass_on(
         self,
@@ -218,7 +217,7 @@
         if self.is_elected():
             relay = RowsRelay(
                 progress.table,
-                progress.position,
+                progress.last_change,
                 found.position,
                 tuple(fresh),
                 after_outage,
@@ -240,3 +239,7 @@
             if away_s > _OUTAGE_S:
                 self._ended_outage_s = now_s
         return now_s - self._ended_outage_s < 2 * _IDLE_S
+
+
+def _last_version(rows: Sequence[StoredRow]) -> int:
+    return max((row.version for row in rows), default=0)
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -57,10 +57,10 @@
 
     def hear(self, beat: FleetBeat) -> None:
         """Take in the heartbeat of a peer."""
-        for table, position in beat.positions.items():
+        for table, last_change in beat.positions.items():
             age_s = beat.ages_s.get(table)
             if age_s is not None:
-                self._follow.compare(table, position, age_s)
+                self._follow.compare(table, last_change, age_s)
         self._state.demand.hear(
             beat.member.name,
             beat.member.region,
