--- a/packages/core/src/tamarackway_core/steering/_observed.py
+++ b/packages/core/src/tamarackway_core/steering/_observed.py
@@ -76,11 +76,6 @@
         told = 1 + (self._told_slowdown - 1) * trust
         return max(told, self._measured_slowness(now_s))
 
-    def _measured_slowness(self, now_s: float) -> float:
-        age_s = now_s - self._slowness_s
-        fade = math.exp(-age_s / _SLOWNESS_LIFETIME_S)
-        return 1 + (self._slowness - 1) * fade
-
     def succeed(self, ratio: float, now_s: float) -> None:
         """Take in an answer.
 
@@ -128,6 +123,11 @@
         sent_s = self._keys.get(key)
         return sent_s is not None and now_s - sent_s < _KEY_LIFETIME_S
 
+    def _measured_slowness(self, now_s: float) -> float:
+        age_s = now_s - self._slowness_s
+        fade = math.exp(-age_s / _SLOWNESS_LIFETIME_S)
+        return 1 + (self._slowness - 1) * fade
+
 
 class Observations:
     """Observations of all targets, by name."""
--- a/packages/core/src/tamarackway_core/steering/_regions.py
+++ b/packages/core/src/tamarackway_core/steering/_regions.py
@@ -33,26 +33,32 @@
         return {}
     if sum(demand.values()) < _LEAST_DEMAND:
         demand = dict.fromkeys({origin, *slots}, 1.0)
+    wanted = demand.get(origin, 0)
+    total = sum(slots.values())
+    if total <= 0 or wanted <= 0:
+        return dict(slots)
     load = _EVENNESS * sum(demand.values()) / total
     room = {name: count * load for name, count in slots.items()}
-    wanted = demand.get(origin, 0)
-    if wanted <= 0:
-        return {origin: 1.0} if slots.get(origin) else dict(slots)
     local = min(wanted, room.get(origin, 0))
-    spare = {
+    spare = _find_spare(origin, room, demand)
+    if sum(spare.values()) <= 0:
+        return {origin: 1.0} if local else dict(slots)
+    part = (1 - local / wanted) / sum(spare.values())
+    shares = {name: part * free for name, free in spare.items()}
+    shares[origin] = local / wanted
+    return {name: share for name, share in shares.items() if share > 0}
+
+
+def _find_spare(
+    origin: str,
+    room: Mapping[str, float],
+    demand: Mapping[str, float],
+) -> dict[str, float]:
+    return {
         name: max(free - demand.get(name, 0), 0)
         for name, free in room.items()
         if name != origin
     }
-    all_spare = sum(spare.values())
-    if all_spare <= 0:
-        return {origin: 1.0} if local else dict(slots)
-    away = 1 - local / wanted
-    shares = {origin: local / wanted}
-    shares.update(
-        {name: away * free / all_spare for name, free in spare.items()},
-    )
-    return {name: share for name, share in shares.items() if share > 0}
 
 
 def approach(
--- a/packages/core/src/tamarackway_core/steering/_work.py
+++ b/packages/core/src/tamarackway_core/steering/_work.py
@@ -49,7 +49,7 @@
         :param run_s: time from its start to its answer.
         """
         usual_s = self.usual_s(service, run_s)
-        is_warm = usual_s == self.warm_s(service) != self.cold_s(service)
+        is_warm = usual_s < self.cold_s(service)
         bounded_s = min(run_s, usual_s * _LONGEST_RATIO)
         learnt_s = usual_s + _GAIN * (bounded_s - usual_s)
         if is_warm:
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -155,31 +155,47 @@
             for progress in self._progress.values():
                 group.start_soon(self._follow, progress)
 
+    def should_poll(self, table: str) -> bool:
+        """Return whether this instance must ask the store itself.
+
+        :param table: name of the table.
+        """
+        progress = self._progress[table]
+        now_s = self._clock.now_s()
+        if not progress.loaded or self.is_elected():
+            return True
+        if now_s - progress.confirmed_s > _STALE_S:
+            return True
+        return now_s - progress.behind_since_s > _BEHIND_S
+
+    async def poll(self, table: str) -> None:
+        """Ask the store once for what is new, or for everything.
+
+        :param table: name of the table.
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+        try:
+            await self._poll(self._progress[table])
+        except HistoryGoneError as error:
+            _log.info('%s.', error)
+            self._progress[table].loaded = False
+        except StoreUnavailableError as error:
+            self._record_failure(table, error)
+            raise
+
     async def _follow(self, progress: Progress) -> None:
         backoff = Backoff(_FIRST_RETRY_S, _LONGEST_RETRY_S, self._rng)
         while True:
-            if not self._should_poll(progress):
+            if not self.should_poll(progress.table):
                 await anyio.sleep(_IDLE_S)
                 continue
             try:
-                await self._poll(progress)
-            except HistoryGoneError as error:
-                _log.info('%s.', error)
-                progress.loaded = False
-            except StoreUnavailableError as error:
-                self._record_failure(progress.table, error)
+                await self.poll(progress.table)
+            except StoreUnavailableError:
                 await anyio.sleep(backoff.next_s())
             else:
                 backoff.reset()
 
-    def _should_poll(self, progress: Progress) -> bool:
-        now_s = self._clock.now_s()
-        if not progress.loaded or self.is_elected():
-            return True
-        if now_s - progress.confirmed_s > _STALE_S:
-            return True
-        return now_s - progress.behind_since_s > _BEHIND_S
-
     async def _poll(self, progress: Progress) -> None:
         table = progress.table
         if progress.loaded:
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -115,10 +115,9 @@
             random.Random(1),
         )
         self.service.relay = self.relays.append
-        self.progress = self.service._progress['t']
 
     def poll(self) -> None:
-        anyio.run(self.service._poll, self.progress)
+        anyio.run(self.service.poll, 't')
 
 
 def test_two_listeners_do_not_confirm_each_other() -> None:
@@ -161,7 +160,7 @@
         store.put(key)
         leader.poll()
     listener.service.take_relay(leader.relays[-1])
-    assert listener.service._should_poll(listener.progress)
+    assert listener.service.should_poll('t')
     listener.poll()
     assert listener.sink.keys == {'missed', 'heard'}
 
@@ -180,7 +179,7 @@
     listener.poll()
     listener.service.is_elected = lambda: False
     clock.moment_s += silent_s
-    assert listener.service._should_poll(listener.progress) is polls
+    assert listener.service.should_poll('t') is polls
 
 
 def test_lost_history_is_replaced_by_the_whole_table() -> None:
@@ -191,9 +190,7 @@
     store.put('old', removed=True)
     store.put('new')
     store.compacted = True
-    with pytest.raises(HistoryGoneError):
-        follower.poll()
-    follower.progress.loaded = False
+    follower.poll()
     follower.poll()
     assert follower.sink.keys == {'new'}
 
@@ -213,7 +210,6 @@
     store.down = True
     with pytest.raises(StoreUnavailableError):
         follower.poll()
-    follower.service._record_failure('t', StoreUnavailableError('down'))
     clock.moment_s += away_s
     store.down = False
     store.put('x')
