--- a/platform/run.py
+++ b/deploy/run.py
@@ -5,8 +5,6 @@
 from pathlib import Path
 
 _ROOT = Path(__file__).resolve().parent.parent
-# This folder itself would shadow the standard module of its name.
-sys.path.pop(0)
 sys.path.extend((
     str(_ROOT / 'packages' / 'core' / 'src'),
     str(_ROOT / 'packages' / 'entry' / 'src'),
--- /dev/null
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -0,0 +1,270 @@
+"""Decisions on one request, without any network."""
+
+import pytest
+
+from tamarackway_core.places import Address, Place
+from tamarackway_core.steering import (
+    Catalogue,
+    Chooser,
+    ColdGate,
+    Demand,
+    LoadReport,
+    Observations,
+    Observed,
+    RepeatBudget,
+    Route,
+    RouteTable,
+    ServicePolicy,
+    ServiceShare,
+    TargetRecord,
+    Wish,
+    WorkTimes,
+    pick_service,
+    split_demand,
+)
+
+POLICY = ServicePolicy('s', cold_per_s=10)
+REGIONS = ('east', 'west')
+
+
+def make_target(
+    name: str,
+    *,
+    region: str = 'east',
+    incarnation: int = 1,
+    sequence: int = 1,
+    leaving: bool = False,
+    cold_left_s: float = 0,
+) -> TargetRecord:
+    return TargetRecord(
+        name=name,
+        incarnation=incarnation,
+        service='s',
+        place=Place(region, f'{region}-a'),
+        address=Address('127.0.0.1', 80),
+        slots=3,
+        leaving=leaving,
+        cold_left_s=cold_left_s,
+        sequence=sequence,
+    )
+
+
+def make_chooser(*targets: TargetRecord) -> tuple[Chooser, Catalogue]:
+    catalogue = Catalogue()
+    for target in targets:
+        catalogue.put(target, 0)
+    chooser = Chooser(
+        'east',
+        catalogue,
+        Observations(),
+        WorkTimes(),
+        Demand('east'),
+    )
+    return chooser, catalogue
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('h.example', '/a/x', 'short'),
+        ('H.example:80', '/a/b/x', 'long'),
+        ('h.example', '/a', None),
+        ('other.example', '/a/x', None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(
+    host: str,
+    path: str,
+    name: str | None,
+) -> None:
+    table = RouteTable([
+        Route('short', 'h.example', '/a/', (), idempotent=True),
+        Route('long', 'h.example', '/a/b/', (), idempotent=True),
+    ])
+    found = table.find(host, path)
+    assert (found.name if found else None) == name
+
+
+def test_services_get_their_weights() -> None:
+    shares = (ServiceShare('a', 9), ServiceShare('b', 1))
+    draws = [pick_service(shares, index / 1000) for index in range(1000)]
+    assert draws.count('b') == 100
+
+
+@pytest.mark.parametrize(
+    ('slots', 'demand', 'local'),
+    [
+        ({'east': 15, 'west': 15}, {}, 1.0),
+        ({'east': 5, 'west': 15}, {}, 0.575),
+        ({'east': 15, 'west': 15}, {'east': 4, 'west': 36}, 1.0),
+        ({'east': 15, 'west': 15}, {'east': 36, 'west': 4}, 0.639),
+        ({'east': 15, 'west': 15}, {'east': 0.1, 'west': 0.1}, 1.0),
+        ({'west': 15}, {'east': 4, 'west': 4}, 0),
+    ],
+)
+def test_a_region_sends_away_what_it_has_no_room_for(
+    slots: dict[str, float],
+    demand: dict[str, float],
+    local: float,
+) -> None:
+    shares = split_demand('east', slots, demand)
+    assert sum(shares.values()) == pytest.approx(1)
+    assert shares.get('east', 0) == pytest.approx(local, abs=0.01)
+
+
+def test_a_key_stays_at_its_target_under_moderate_load() -> None:
+    chooser, _ = make_chooser(*(make_target(f't{n}') for n in range(8)))
+    first = chooser.choose(Wish('s', 'k'), POLICY, (), 0)
+    assert first is not None
+    first.observed.in_flight = 3
+    again = chooser.choose(Wish('s', 'k'), POLICY, (), 0)
+    assert again is not None
+    assert again.record == first.record
+
+
+def test_a_key_leaves_its_target_once_waiting_costs_more_than_a_cold_run() -> (
+    None
+):
+    chooser, _ = make_chooser(*(make_target(f't{n}') for n in range(8)))
+    first = chooser.choose(Wish('s', 'k'), POLICY, (), 0)
+    assert first is not None
+    first.observed.in_flight = 30
+    again = chooser.choose(Wish('s', 'k'), POLICY, (), 0)
+    assert again is not None
+    assert again.record != first.record
+
+
+def test_a_cold_run_does_not_make_a_target_look_slow() -> None:
+    work = WorkTimes()
+    observed = Observed(1, 0)
+    for _ in range(50):
+        for run_s in (0.1, 0.3):
+            ratio = run_s / work.usual_s('s', run_s)
+            observed.succeed(ratio, 0)
+            work.learn('s', run_s)
+    assert observed.slowness(0) == pytest.approx(1, abs=0.05)
+    assert work.warm_s('s') == pytest.approx(0.1, rel=0.1)
+    assert work.cold_s('s') == pytest.approx(0.3, rel=0.1)
+
+
+def test_a_slow_target_is_left_and_tried_again() -> None:
+    chooser, _ = make_chooser(*(make_target(f't{n}') for n in range(8)))
+    first = chooser.choose(Wish('s', 'k'), POLICY, (), 0)
+    assert first is not None
+    for _ in range(10):
+        first.observed.succeed(8, 0)
+    later = {
+        now_s: chooser.choose(Wish('s', 'k'), POLICY, (), now_s)
+        for now_s in (0, 20)
+    }
+    assert later[0] is not None
+    assert later[20] is not None
+    assert later[0].record != first.record
+    assert later[20].record == first.record
+
+
+@pytest.mark.parametrize('homes', [('west',), ('east',)])
+def test_homes_bind(homes: tuple[str, ...]) -> None:
+    chooser, _ = make_chooser(
+        *(make_target(f't{n}', region=REGIONS[n % 2]) for n in range(8)),
+    )
+    for number in range(50):
+        wish = Wish('s', f'k{number}', homes)
+        chosen = chooser.choose(wish, POLICY, (), 0)
+        assert chosen is not None
+        assert chosen.record.place.region == homes[0]
+
+
+def test_no_target_is_better_than_a_forbidden_one() -> None:
+    chooser, catalogue = make_chooser(
+        make_target('leaving', leaving=True),
+        make_target('evacuated', region='west'),
+    )
+    catalogue.evacuate(['west-a'], 0, 3)
+    assert chooser.choose(Wish('s'), POLICY, (), 0) is None
+
+
+def test_targets_of_a_domain_taken_back_are_cold() -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t'), 0)
+    catalogue.evacuate(['east-a'], 1, 3)
+    catalogue.evacuate([], 5, 3)
+    assert catalogue.is_cold('t', 7.9)
+    assert not catalogue.is_cold('t', 8.1)
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'sequence', 'taken'),
+    [(1, 6, True), (1, 4, False), (2, 1, True), (0, 9, False)],
+)
+def test_older_descriptions_are_passed_over(
+    incarnation: int,
+    sequence: int,
+    *,
+    taken: bool,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t', sequence=5), 0)
+    changed = make_target(
+        't',
+        incarnation=incarnation,
+        sequence=sequence,
+        leaving=True,
+    )
+    catalogue.put(changed, 1)
+    assert (catalogue.find('t') == changed) is taken
+
+
+def test_lapsed_targets_stay_until_they_could_be_back() -> None:
+    catalogue = Catalogue()
+    for name in ('back', 'gone'):
+        catalogue.put(make_target(name), 0)
+        catalogue.lapse(name, 10)
+    catalogue.put(make_target('back', sequence=2), 11)
+    assert catalogue.remove_lapsed(12) == []
+    assert catalogue.remove_lapsed(12.6) == ['gone']
+    assert catalogue.names == {'back'}
+
+
+@pytest.mark.parametrize('instances', [1, 4, 11, 40])
+def test_cold_targets_get_no_more_from_all_instances_together(
+    instances: int,
+) -> None:
+    sent = 0
+    for position in range(instances):
+        gate = ColdGate()
+        for step in range(100):
+            now_s = step / 100
+            if gate.allows('t', 14.9, instances, position, now_s):
+                gate.record('t', now_s)
+                sent += 1
+    assert 0 < sent <= 14.9
+
+
+def test_the_repeat_budget_holds_over_all_instances() -> None:
+    instances = 11
+    repeats = 0
+    for _ in range(instances):
+        budget = RepeatBudget(10, 0.2, 62)
+        for step in range(100):
+            budget.count_request(step / 10)
+            repeats += budget.take(instances, step / 10)
+    assert 0 < repeats <= 0.2 * 100 * instances + 62
+
+
+def test_load_reports_fade_to_what_is_usual() -> None:
+    observed = Observed(1, 0)
+    observed.take_report(LoadReport(3, 6, 3), 0)
+    assert observed.load(0) == pytest.approx(9)
+    assert observed.load(5) < 2
+
+
+def test_an_ejected_target_is_tried_by_one_request() -> None:
+    observed = Observed(1, 0)
+    wait_s = observed.fail(0)
+    assert observed.is_ejected(wait_s / 2)
+    assert not observed.is_ejected(wait_s)
+    observed.in_flight = 1
+    assert observed.is_ejected(wait_s)
+    observed.succeed(1, wait_s)
+    assert not observed.is_ejected(wait_s)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -0,0 +1,136 @@
+"""One connection against servers that send wrong, late or extra bytes."""
+
+import asyncio
+
+import pytest
+
+from tamarackway_entry.upstream import (
+    Answer,
+    BadAnswerError,
+    Connection,
+    LostError,
+    NotSentError,
+)
+
+OWN = b'HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 2\r\n\r\nok'
+OTHER = b'HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 2\r\n\r\nno'
+SWITCH = b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n'
+UNFRAMED = b'HTTP/1.1 200 OK\r\nid: own\r\n\r\nall of it'
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written, and whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.closed = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+    def abort(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+def accepts(answer: Answer) -> bool:
+    return answer.find(b'id') == b'own'
+
+
+async def _exchange(
+    *received: bytes,
+    eof: bool = False,
+    reset: bool = False,
+) -> tuple[Answer, Connection]:
+    connection = Connection()
+    connection.connection_made(FakeTransport())
+    asking = asyncio.ensure_future(connection.exchange(b'ask', accepts))
+    await asyncio.sleep(0)
+    for part in received:
+        connection.data_received(part)
+    if eof:
+        connection.eof_received()
+        connection.connection_lost(None)
+    if reset:
+        connection.connection_lost(ConnectionResetError('reset'))
+    return await asyncio.wait_for(asking, 1), connection
+
+
+@pytest.mark.parametrize(
+    ('received', 'reusable'),
+    [
+        ((OWN,), True),
+        ((OWN[:20], OWN[20:]), True),
+        ((OTHER, OWN), True),
+        ((OTHER + OWN,), True),
+        ((OWN + OTHER,), False),
+        ((OWN + b'junk',), False),
+        ((b'HTTP/1.1 100 Continue\r\n\r\n' + OWN,), True),
+        ((OWN.replace(b'id:', b'Connection: close\r\nid:'),), False),
+    ],
+)
+def test_only_the_own_answer_counts(
+    received: tuple[bytes, ...],
+    *,
+    reusable: bool,
+) -> None:
+    answer, connection = asyncio.run(_exchange(*received))
+    assert answer.body == b'ok'
+    assert connection.reusable is reusable
+
+
+def test_a_body_without_length_ends_with_its_connection() -> None:
+    answer, connection = asyncio.run(_exchange(UNFRAMED, eof=True))
+    assert answer.body == b'all of it'
+    assert not connection.reusable
+
+
+@pytest.mark.parametrize(
+    ('received', 'eof', 'reset', 'error'),
+    [
+        ((UNFRAMED,), False, True, LostError),
+        ((OWN[:-1],), True, False, LostError),
+        ((), True, False, LostError),
+        ((OTHER,), False, True, LostError),
+        ((b'\x00\x01\x02',), False, False, BadAnswerError),
+        (
+            (b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n',),
+            True,
+            False,
+            OSError,
+        ),
+    ],
+)
+def test_what_is_not_whole_is_no_answer(
+    received: tuple[bytes, ...],
+    error: type[Exception],
+    *,
+    eof: bool,
+    reset: bool,
+) -> None:
+    with pytest.raises(error):
+        asyncio.run(_exchange(*received, eof=eof, reset=reset))
+
+
+def test_bytes_on_an_idle_connection_close_it() -> None:
+    async def run() -> bool:
+        _, connection = await _exchange(OWN)
+        connection.data_received(OTHER)
+        return connection.is_open
+
+    assert not asyncio.run(run())
+
+
+def test_a_closed_connection_sends_nothing() -> None:
+    async def run() -> None:
+        connection = Connection()
+        await connection.exchange(b'ask', accepts)
+
+    with pytest.raises(NotSentError):
+        asyncio.run(run())
--- a/packages/standins/src/tamarackway_standins/_command.py
+++ b/packages/standins/src/tamarackway_standins/_command.py
@@ -8,6 +8,7 @@
 from tamarackway_standins.links import run_links
 from tamarackway_standins.objects import build_objects_app
 from tamarackway_standins.serving import serve
+from tamarackway_standins.store import RowLog, build_store_app
 from tamarackway_standins.table import Rows, build_table_app
 from tamarackway_standins.targets import TargetApp, TargetSettings
 
@@ -21,6 +22,12 @@
     serve(build_table_app(Rows()), listen)
 
 
+@app.command()
+def store(listen: _Listen) -> None:
+    """Serve the platform's store of rows and objects."""
+    serve(build_store_app(RowLog()), listen)
+
+
 @app.command()
 def objects(listen: _Listen) -> None:
     """Serve an object store."""
