--- a/packages/core/src/tamarackway_core/steering/_chooser.py
+++ b/packages/core/src/tamarackway_core/steering/_chooser.py
@@ -1,6 +1,8 @@
 """Chooses the target that will probably answer a request first."""
 
-from collections.abc import Collection, Mapping
+import itertools
+import operator
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,10 +15,9 @@
 from tamarackway_core.steering._regions import approach, split_demand
 from tamarackway_core.steering._work import WorkTimes
 
-_COPIES: Final = 1  # more would crowd other keys out of targets' memory
+_CHOICES: Final = 3  # targets of a key; more would crowd out other keys
 _SPLIT_LIFETIME_S: Final = 0.5
 _USED_SHIFT: Final = 0.5  # of the cap; the rest is left to single choices
-_MAX_RANK: Final = 3
 _AWAY_COST_S: Final = 0.03  # keeps requests in the region of their key
 _RANK_COST_S: Final = 0.01  # keeps a key on its first target when in doubt
 _LOAD_COST: Final = 0.35  # share of a run lost to unseen requests of others
@@ -33,11 +34,13 @@
     :param service: service that must run it.
     :param key: what targets may remember of it; empty if nothing.
     :param home_regions: the only regions allowed; empty for all.
+    :param spread: what spreads requests without a key among regions.
     """
 
     service: str
     key: str = ''
     home_regions: tuple[str, ...] = ()
+    spread: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +53,7 @@
     :param warm: whether it is thought to know the key.
     :param cold: whether it has just started.
     :param load: requests that it probably holds.
-    :param rank: its place in the key's order within its region.
+    :param rank: its place in the key's order.
     """
 
     record: TargetRecord
@@ -78,8 +81,10 @@
     :param demand: requests by region.
 
     A key has a preferred region, by the demand and capacity of all regions,
-    and an order of preference within it. The first targets of that order are
-    taken to know the key, since all instances send it there.
+    and an order of targets that starts there. The first one is taken to know
+    the key, since all instances send it there. Only a few are weighed: under
+    load, keys that stray everywhere are new to every target, and new keys run
+    longest.
     """
 
     def __init__(
@@ -133,18 +138,9 @@
         :param tried: names of targets that must not get it again.
         :param now_s: monotonic time in seconds.
         """
-        ranking = self._catalogue.list_usable(wish.service)
-        ranks = ranking.find_ranks(wish.key) if wish.key else {}
-        preferred = self._prefer(wish, ranking.targets, now_s)
-        best: Candidate | None = None
-        for record in ranking.targets:
-            if record.name in tried or not _is_home(record, wish):
-                continue
-            rank = ranks.get(record.name, 0)
-            found = self._rate(record, wish, policy, rank, preferred, now_s)
-            if found and (best is None or found.cost_s < best.cost_s):
-                best = found
-        return best
+        rated = self._rate_all(wish, policy, tried, now_s)
+        few = itertools.islice(rated, _CHOICES if wish.key else None)
+        return min(few, key=operator.attrgetter('cost_s'), default=None)
 
     def record_send(self, chosen: Candidate, key: str, now_s: float) -> None:
         """Note that a request goes to a target.
@@ -158,6 +154,23 @@
         if chosen.cold:
             self.cold_gate.record(chosen.record.name, now_s)
 
+    def _rate_all(
+        self,
+        wish: Wish,
+        policy: ServicePolicy,
+        tried: Collection[str],
+        now_s: float,
+    ) -> Iterator[Candidate]:
+        """Yield the targets that can be had, in the order of the key."""
+        ranking = self._catalogue.list_usable(wish.service)
+        preferred = self._prefer(wish, ranking.targets, now_s)
+        for rank, record in enumerate(ranking.order(wish.key, preferred)):
+            if record.name in tried or not _is_home(record, wish):
+                continue
+            found = self._rate(record, wish, policy, rank, preferred, now_s)
+            if found is not None:
+                yield found
+
     def _rate(
         self,
         record: TargetRecord,
@@ -177,17 +190,18 @@
         cold = self._catalogue.is_cold(record.name, now_s)
         if cold and not self._gate_allows(record, policy, now_s):
             return None
-        in_place = record.place.region == preferred and rank < _COPIES
-        knows = bool(wish.key) and observed.knows(wish.key, now_s)
-        warm = bool(wish.key) and (knows or (in_place and not cold))
+        knows = observed.knows(wish.key, now_s)
+        warm = bool(wish.key) and (knows or (rank == 0 and not cold))
         load = observed.load(now_s)
         cost_s = self._expect_s(wish.service, load, record.slots, warm=warm)
         cost_s *= observed.slowness(now_s)
         cost_s *= _COLD_SLOWNESS if cold else 1
         cost_s += self.distance_s(record.place.region)
         cost_s += observed.sheds * _SHED_COST_S
-        cost_s += min(rank, _MAX_RANK) * _RANK_COST_S
-        cost_s += 0 if record.place.region == preferred else _AWAY_COST_S
+        if wish.key:
+            cost_s += min(rank, _CHOICES) * _RANK_COST_S
+        if record.place.region != preferred:
+            cost_s += _AWAY_COST_S
         return Candidate(record, observed, cost_s, warm, cold, load, rank)
 
     def _expect_s(
@@ -229,7 +243,7 @@
         if split is None or now_s - split.made_s > _SPLIT_LIFETIME_S:
             split = self._renew(split, wish, targets, now_s)
             self._splits[place] = split
-        return prefer_region(wish.key, split.shares)
+        return prefer_region(wish.key or wish.spread, split.shares)
 
     def _renew(
         self,
--- a/packages/core/src/tamarackway_core/steering/_ranking.py
+++ b/packages/core/src/tamarackway_core/steering/_ranking.py
@@ -55,36 +55,33 @@
 
 
 class TargetRanking:
-    """Remembers the rank of targets for recent keys.
+    """Remembers the order of targets for recent keys.
 
     :param targets: all targets of one service.
     """
 
-    _max_keys = 4096
+    _max_orders = 4096
 
     def __init__(self, targets: Sequence[TargetRecord]) -> None:
         """Start without keys."""
         self.targets = tuple(targets)
-        self._ranks: dict[str, dict[str, int]] = {}
+        self._orders: dict[tuple[str, str | None], Sequence[TargetRecord]] = {}
 
-    def find_ranks(self, key: str) -> Mapping[str, int]:
-        """Return the rank of each target within its region, by name.
+    def order(self, key: str, region: str | None) -> Sequence[TargetRecord]:
+        """Return the targets in the order in which a key prefers them.
 
-        :param key: key of the request.
+        :param key: key of the request; without one, any order will do.
+        :param region: region whose targets come first.
         """
-        ranks = self._ranks.get(key)
-        if ranks is None:
-            ranks = self._rank_in_regions(key)
-            if len(self._ranks) >= self._max_keys:
-                self._ranks.clear()
-            self._ranks[key] = ranks
-        return ranks
-
-    def _rank_in_regions(self, key: str) -> dict[str, int]:
-        seen: dict[str, int] = {}
-        ranks: dict[str, int] = {}
-        for target in rank(key, self.targets):
-            region = target.place.region
-            ranks[target.name] = seen.get(region, 0)
-            seen[region] = ranks[target.name] + 1
-        return ranks
+        if not key:
+            return self.targets
+        known = self._orders.get((key, region))
+        if known is None:
+            ranked = rank(key, self.targets)
+            near = [one for one in ranked if one.place.region == region]
+            far = [one for one in ranked if one.place.region != region]
+            known = (*near, *far)
+            if len(self._orders) >= self._max_orders:
+                self._orders.clear()
+            self._orders[key, region] = known
+        return known
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -134,6 +134,35 @@
     assert again.record != first.record
 
 
+def test_keys_do_not_stray_under_overload() -> None:
+    """Look-ups of 150 keys at twice the load that the targets can bear."""
+    targets = [make_target(f't{n}') for n in range(20)]
+    chooser, _ = make_chooser(*targets)
+    seen: dict[str, set[str]] = {}
+    for step in range(3000):
+        key = f'k{step % 150}'
+        chosen = chooser.choose(Wish('s', key), POLICY, (), step / 500)
+        assert chosen is not None
+        chooser.record_send(chosen, key, step / 500)
+        chosen.observed.in_flight += 1
+        seen.setdefault(key, set()).add(chosen.record.name)
+    assert max(len(names) for names in seen.values()) <= 3
+
+
+def test_requests_without_a_key_use_all_regions() -> None:
+    chooser, _ = make_chooser(
+        make_target('near'),
+        *(make_target(f'far{n}', region='west') for n in range(9)),
+    )
+    names = set()
+    for number in range(60):
+        wish = Wish('s', spread=f'request{number}')
+        chosen = chooser.choose(wish, POLICY, (), 0)
+        assert chosen is not None
+        names.add(chosen.record.place.region)
+    assert names == {'east', 'west'}
+
+
 def test_a_cold_run_does_not_make_a_target_look_slow() -> None:
     work = WorkTimes()
     observed = Observed(1, 0)
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -138,6 +138,7 @@
             service,
             request.key if route.sticky else '',
             route.home_regions,
+            request.request_id,
         )
         limit_s = min(route.timeout_s, request.patience_s)
         ends_s = request.received_s + limit_s
