Wait a moment for a fresh instance's configuration; find dark targets sooner

Ruled out: slow reads of the store (20 to 120 ms). Change: requests wait up to 0.5 s for the first configuration; the time to connect follows the learnt distance; unacknowledged bytes end a connection after 0.8 s.

--- a/packages/entry/src/tamarackway_entry/forwarding/_book.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_book.py
@@ -40,6 +40,7 @@
             known - {record.name for record in records},
             after_outage=after_outage,
         )
+        self._state.load_targets()
 
     def change(
         self,
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -37,6 +37,8 @@
 _RETRY_AFTER_S: Final = 0.2  # a target usually frees a slot within that time
 _FINGERPRINT_BYTES: Final = 16
 _START_RETRY_S: Final = 0.5
+_START_WAIT_S: Final = 0.5  # a fresh instance is ready within that time
+_START_SHARE: Final = 0.25  # of the caller's patience
 _LEAST_LEFT_S: Final = 0.02  # less cannot bring an answer back
 
 
@@ -103,6 +105,7 @@
             to targets, and what may run twice is stopped there.
         """
         passage = None
+        await self._wait_until_ready(request)
         answer = self._refuse_early(request)
         if answer is None:
             passage = self._begin(request, gone)
@@ -110,6 +113,33 @@
         self._record(request, answer, passage)
         return answer
 
+    def describe_loss(self, passage: Passage, chosen: Candidate) -> Loss:
+        """Return what to report if a target died of a request.
+
+        :param passage: the request on its way.
+        :param chosen: the target.
+        """
+        return Loss(
+            _fingerprint(passage.request),
+            chosen.record.name,
+            chosen.record.incarnation,
+        )
+
+
+def _describe(chosen: Candidate, attempt: Attempt, elapsed_s: float) -> str:
+    inputs = f'rank={chosen.rank} load={chosen.load:.1f} warm={chosen.warm}'
+    times = f'expected={chosen.cost_s:.3f}s took={elapsed_s:.3f}s'
+    where = f'{chosen.record.name} in {chosen.record.place.failure_domain}'
+    return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
+
+    async def _wait_until_ready(self, request: ForwardRequest) -> None:
+        """Wait a moment for a fresh instance to learn its configuration."""
+        if not self._state.ready.is_set():
+            with anyio.move_on_after(
+                min(_START_WAIT_S, request.patience_s * _START_SHARE),
+            ):
+                await self._state.ready.wait()
+
     def _refuse_early(self, request: ForwardRequest) -> ForwardAnswer | None:
         if self._state.configuration is None:
             return _refuse('no configuration is known yet', _START_RETRY_S)
@@ -188,7 +218,7 @@
         passage.may_have_run |= attempt.may_have_run
         passage.trail.append(_describe(chosen, attempt, elapsed_s))
         if attempt.verdict == Verdict.LOST:
-            self._sender.suspect(chosen, self._loss(passage, chosen))
+            self._sender.suspect(chosen, self.describe_loss(passage, chosen))
         return attempt
 
     async def _send(
@@ -256,20 +286,6 @@
     def _policy(self, passage: Passage) -> ServicePolicy:
         return self._state.policy(passage.wish.service)
 
-    def _loss(self, passage: Passage, chosen: Candidate) -> Loss:
-        return Loss(
-            _fingerprint(passage.request),
-            chosen.record.name,
-            chosen.record.incarnation,
-        )
-
-
-def _describe(chosen: Candidate, attempt: Attempt, elapsed_s: float) -> str:
-    inputs = f'rank={chosen.rank} load={chosen.load:.1f} warm={chosen.warm}'
-    times = f'expected={chosen.cost_s:.3f}s took={elapsed_s:.3f}s'
-    where = f'{chosen.record.name} in {chosen.record.place.failure_domain}'
-    return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
-
 
 async def _cancel_once_gone(gone: anyio.Event, group: TaskGroup) -> None:
     await gone.wait()
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -24,7 +24,8 @@
     connect,
 )
 
-_CONNECT_TIMEOUT_S: Final = 0.4  # several round trips between far regions
+_CONNECT_MARGIN_S: Final = 0.1  # for a busy target, beside the round trips
+_CONNECT_TRIPS: Final = 2
 _MAX_IDLE_S: Final = 4.0  # under the shortest idle timeout of targets
 _MAX_IDLE_ONCE_S: Final = 2.0  # a request that runs once may not be eaten
 _IDLE_MARGIN_S: Final = 1.0
@@ -231,8 +232,10 @@
     async def _connect(self, chosen: Candidate) -> Connection:
         record = chosen.record
         started_s = self._clock.now_s()
+        distance_s = self._state.chooser.distance_s(record.place.region)
+        limit_s = _CONNECT_TRIPS * distance_s + _CONNECT_MARGIN_S
         try:
-            with anyio.fail_after(_CONNECT_TIMEOUT_S):
+            with anyio.fail_after(limit_s):
                 connection = await connect(record.address)
         except TimeoutError as error:
             raise NotSentError(f'{record.address} does not accept') from error
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -1,5 +1,6 @@
 """What this instance knows: configuration, targets and observations."""
 
+import anyio
 from tamarackway_core.quarantine import QuarantineRegister
 from tamarackway_core.steering import (
     Catalogue,
@@ -27,6 +28,8 @@
         """Start without a configuration."""
         self.bounds = bounds
         self.configuration: Configuration | None = None
+        self.targets_loaded = False
+        self.ready = anyio.Event()
         self.routes = RouteTable(())
         self.catalogue = Catalogue()
         self.observations = Observations()
@@ -53,8 +56,14 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self._check_ready()
         return True
 
+    def load_targets(self) -> None:
+        """Note that all targets are known."""
+        self.targets_loaded = True
+        self._check_ready()
+
     def policy(self, service: str) -> ServicePolicy:
         """Return the operator's policy for a service, with its cold bound."""
         known = None
@@ -88,3 +97,7 @@
             )
             self._budgets[service] = budget
         return budget
+
+    def _check_ready(self) -> None:
+        if self.targets_loaded and self.configuration is not None:
+            self.ready.set()
--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -19,7 +19,7 @@
 )
 from tamarackway_entry.upstream._reader import Answer, AnswerReader
 
-_USER_TIMEOUT_MS: Final = 1500  # unacknowledged bytes show a silent path
+_USER_TIMEOUT_MS: Final = 800  # two resendings, within routes' timeouts
 Accepts = Callable[[Answer], bool]
 
 
