--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -125,13 +125,6 @@
             chosen.record.incarnation,
         )
 
-
-def _describe(chosen: Candidate, attempt: Attempt, elapsed_s: float) -> str:
-    inputs = f'rank={chosen.rank} load={chosen.load:.1f} warm={chosen.warm}'
-    times = f'expected={chosen.cost_s:.3f}s took={elapsed_s:.3f}s'
-    where = f'{chosen.record.name} in {chosen.record.place.failure_domain}'
-    return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
-
     async def _wait_until_ready(self, request: ForwardRequest) -> None:
         """Wait a moment for a fresh instance to learn its configuration."""
         if not self._state.ready.is_set():
@@ -287,6 +280,13 @@
         return self._state.policy(passage.wish.service)
 
 
+def _describe(chosen: Candidate, attempt: Attempt, elapsed_s: float) -> str:
+    inputs = f'rank={chosen.rank} load={chosen.load:.1f} warm={chosen.warm}'
+    times = f'expected={chosen.cost_s:.3f}s took={elapsed_s:.3f}s'
+    where = f'{chosen.record.name} in {chosen.record.place.failure_domain}'
+    return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
+
+
 async def _cancel_once_gone(gone: anyio.Event, group: TaskGroup) -> None:
     await gone.wait()
     group.cancel_scope.cancel()
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -228,12 +228,16 @@
         state.configure(known)
         state.load_targets()
 
-    async def serve() -> ForwardAnswer:
+    answers: list[ForwardAnswer] = []
+
+    async def serve() -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(learn)
-            return await forwarder.serve(make_request(), anyio.Event())
+            found = await forwarder.serve(make_request(), anyio.Event())
+            answers.append(found)
 
-    assert anyio.run(serve).status == 200
+    anyio.run(serve)
+    assert answers[0].status == 200
 
 
 def test_a_request_that_kills_targets_is_refused_from_then_on() -> None:
