Divide shared budgets among all known instances, not only live ones

Cause: an instance that is cut off heard nobody and took the whole budget of repeats and of cold targets; four such would have sent 44 requests a second to a cold target that bears 14.9. Ruled out: dividing by live instances plus a margin (a cut has no bound). Change: instances that may be running count for 60 s after they fell silent. The test of isolated instances failed first with live ones.

--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -37,6 +37,10 @@
         """Return the heartbeat of this moment."""
 
     def hear(self, beat: FleetBeat) -> None:
+        """Take in the heartbeat of a peer.
+
+        :param beat: the heartbeat.
+        """
         """Take in the heartbeat of a peer."""
 
     def take_relay(self, relay: RowsRelay) -> None:
@@ -87,6 +91,14 @@
         """Return the other instances that are alive."""
         return [peer.member for peer in self._peers.values() if peer.is_live]
 
+    def list_known(self) -> list[FleetMember]:
+        """Return the other instances that may be running, silent ones too.
+
+        What all instances share is divided among these: an instance that is
+        cut off must not take the shares of those that it no longer hears.
+        """
+        return [peer.member for peer in self._peers.values()]
+
     def is_elected(self) -> bool:
         """Return whether this instance follows the store for the others."""
         names = [
@@ -112,10 +124,10 @@
             self._group = group
             group.start_soon(server.run)
             for member in enrolment.members:
-                self._link(member.peers)
+                self._expect(member)
             while True:
                 await anyio.sleep(_BEAT_S)
-                self._sweep()
+                self.sweep()
 
     def relay(self, relay: RowsRelay) -> None:
         """Pass changed rows on to all peers.
@@ -139,6 +151,13 @@
         except PeerLostError as error:
             _log.debug('%s was not told: %s.', link.address, error)
 
+    def _expect(self, member: FleetMember) -> None:
+        peer = _Peer(member, store_answers=False)
+        peer.heard_s = self._clock.now_s()
+        self._peers.setdefault(member.name, peer)
+        self._link(member.peers)
+        self.on_change()
+
     def _link(self, address: str) -> None:
         if address in self._links or address == self._own.peers:
             return
@@ -174,17 +193,21 @@
                 continue
             missed = 0
             if isinstance(reply, FleetBeat):
-                self._hear(reply)
+                self.hear(reply)
 
     async def _answer(self, message: Message) -> Message:
         if isinstance(message, FleetBeat):
-            self._hear(message)
+            self.hear(message)
             return self._source.describe()
         if isinstance(message, RowsRelay):
             self._source.take_relay(message)
         return Ok()
 
-    def _hear(self, beat: FleetBeat) -> None:
+    def hear(self, beat: FleetBeat) -> None:
+        """Take in the heartbeat of a peer.
+
+        :param beat: the heartbeat.
+        """
         member = beat.member
         if member.name == self._own.name:
             return
@@ -210,7 +233,8 @@
             )
             self.on_change()
 
-    def _sweep(self) -> None:
+    def sweep(self) -> None:
+        """Take in which peers have fallen silent, and forget the oldest."""
         now_s = self._clock.now_s()
         for name, peer in self._peers.items():
             if peer.is_live and now_s - peer.heard_s > _LIVE_S:
@@ -218,6 +242,13 @@
                 _log.warning('Instance %s has fallen silent.', name)
                 self._source.lose(name)
                 self.on_change()
+        self._forget(now_s)
+
+    def _forget(self, now_s: float) -> None:
+        for name, peer in list(self._peers.items()):
+            if now_s - peer.heard_s > _FORGET_S:
+                self._peers.pop(name)
+                self.on_change()
         for address, known_s in list(self._known_s.items()):
             if now_s - known_s > _FORGET_S and address in self._links:
                 self._links.pop(address)
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -79,9 +79,9 @@
         self._state.demand.forget(name)
 
     def count_fleet(self, peers: Sequence[FleetMember]) -> None:
-        """Take in who is alive, for what all instances share.
+        """Take in who may be running, for what all instances share.
 
-        :param peers: the other instances that are alive.
+        :param peers: the other instances that may be running.
         """
         names = sorted([self._own.name, *(peer.name for peer in peers)])
         self._state.chooser.instances = len(names)
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -0,0 +1,151 @@
+"""Who is alive, who counts, and which instances callers are told of."""
+
+import random
+from collections.abc import Sequence
+
+import pytest
+from tamarackway_core.steering import ColdGate, RepeatBudget
+from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay
+
+from tamarackway_entry.fleet import FleetRegistry, FleetService, list_entries
+from tamarackway_entry.tests.test_following import FakeStore, ManualClock
+
+
+def make_member(
+    name: str,
+    *,
+    region: str = 'east',
+    ready: bool = True,
+    leaving: bool = False,
+) -> FleetMember:
+    return FleetMember(
+        name=name,
+        incarnation='1',
+        region=region,
+        failure_domain=f'{region}-a',
+        callers=f'127.0.0.1:8{name[1:]}',
+        peers=f'127.0.0.1:9{name[1:]}',
+        ready=ready,
+        leaving=leaving,
+    )
+
+
+def make_beat(member: FleetMember, *, store_answers: bool = True) -> FleetBeat:
+    return FleetBeat(member, {}, {}, store_answers=store_answers, rates={})
+
+
+class Source:
+    """Describes one instance, and remembers who was lost."""
+
+    def __init__(self, member: FleetMember) -> None:
+        self.beat = make_beat(member)
+        self.lost: list[str] = []
+
+    def describe(self) -> FleetBeat:
+        return self.beat
+
+    def hear(self, beat: FleetBeat) -> None:
+        """Learn nothing."""
+
+    def take_relay(self, relay: RowsRelay) -> None:
+        """Learn nothing."""
+
+    def lose(self, name: str) -> None:
+        self.lost.append(name)
+
+
+def make_fleet(own: str, clock: ManualClock) -> tuple[FleetService, Source]:
+    member = make_member(own)
+    source = Source(member)
+    registry = FleetRegistry(FakeStore(), random.Random(1))
+    return FleetService(source, registry, member, clock), source
+
+
+def test_a_silent_instance_is_not_alive_but_counts() -> None:
+    clock = ManualClock()
+    fleet, source = make_fleet('i1', clock)
+    for name in ('i2', 'i3'):
+        fleet.hear(make_beat(make_member(name)))
+    clock.moment_s += 1
+    fleet.hear(make_beat(make_member('i3')))
+    clock.moment_s += 1
+    fleet.sweep()
+    assert [member.name for member in fleet.list_live()] == ['i3']
+    assert [member.name for member in fleet.list_known()] == ['i2', 'i3']
+    assert source.lost == ['i2']
+    clock.moment_s += 59.5
+    fleet.sweep()
+    assert [member.name for member in fleet.list_known()] == ['i3']
+
+
+@pytest.mark.parametrize('isolated', [0, 4, 11])
+def test_isolated_instances_keep_to_their_shares(isolated: int) -> None:
+    """Cold targets and repeats while instances no longer hear each other."""
+    clock = ManualClock()
+    names = [f'i{number}' for number in range(11)]
+    cold = 0
+    repeats = 0
+    for position, name in enumerate(names):
+        fleet, _ = make_fleet(name, clock)
+        for other in names:
+            fleet.hear(make_beat(make_member(other)))
+        if position < isolated:
+            clock.moment_s += 5
+            fleet.sweep()
+            assert not fleet.list_live()
+        counted = len(fleet.list_known()) + 1
+        gate = ColdGate()
+        budget = RepeatBudget(10, 0.2, 62)
+        for _ in range(100):
+            if gate.allows('t', 14.9, counted, position, clock.moment_s):
+                gate.record('t', clock.moment_s)
+                cold += 1
+            repeats += budget.take(counted, clock.moment_s)
+    assert cold <= 14.9
+    assert repeats <= 62
+
+
+def test_one_of_those_that_reach_the_store_follows_it() -> None:
+    clock = ManualClock()
+    names = ['i1', 'i2', 'i3']
+    elected = []
+    for own in names:
+        fleet, source = make_fleet(own, clock)
+        for other in names:
+            answers = other != 'i2'
+            beat = make_beat(make_member(other), store_answers=answers)
+            if other == own:
+                source.beat = beat
+            else:
+                fleet.hear(beat)
+        if fleet.is_elected():
+            elected.append(own)
+    assert len(elected) == 1
+    assert elected != ['i2']
+
+
+@pytest.mark.parametrize(
+    ('members', 'names'),
+    [
+        (
+            [make_member('i1'), make_member('i2', region='west')],
+            ['i1'],
+        ),
+        (
+            [make_member('i1', ready=False), make_member('i2', region='west')],
+            ['i2'],
+        ),
+        (
+            [make_member('i1', leaving=True, ready=False), make_member('i2')],
+            ['i2'],
+        ),
+        ([make_member('i1', ready=False)], ['i1']),
+        ([make_member('i1', ready=False, leaving=True)], ['i1']),
+    ],
+)
+def test_callers_are_told_of_ready_instances_near_them(
+    members: Sequence[FleetMember],
+    names: list[str],
+) -> None:
+    found = list_entries(members, 'east', 64)
+    assert [member.name for member in found] == names
