--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -145,6 +145,47 @@
             for link in list(self._links.values()):
                 group.start_soon(self._send, link, self._source.describe())
 
+    def hear(self, beat: FleetBeat) -> None:
+        """Take in the heartbeat of a peer.
+
+        :param beat: the heartbeat.
+        """
+        member = beat.member
+        if member.name == self._own.name:
+            return
+        now_s = self._clock.now_s()
+        peer = self._peers.get(member.name)
+        if peer is None:
+            peer = _Peer(member, store_answers=beat.store_answers)
+            self._peers[member.name] = peer
+        was = (peer.is_live, peer.member)
+        peer.member = member
+        peer.heard_s = now_s
+        peer.store_answers = beat.store_answers
+        peer.is_live = True
+        self._known_s[member.peers] = now_s
+        self._link(member.peers)
+        self._source.hear(beat)
+        if was != (True, member):
+            _log.info(
+                'Instance %s is alive, ready=%s leaving=%s.',
+                member.name,
+                member.ready,
+                member.leaving,
+            )
+            self.on_change()
+
+    def sweep(self) -> None:
+        """Take in which peers have fallen silent, and forget the oldest."""
+        now_s = self._clock.now_s()
+        for name, peer in self._peers.items():
+            if peer.is_live and now_s - peer.heard_s > _LIVE_S:
+                peer.is_live = False
+                _log.warning('Instance %s has fallen silent.', name)
+                self._source.lose(name)
+                self.on_change()
+        self._forget(now_s)
+
     async def _send(self, link: PeerLink, message: Message) -> None:
         try:
             await link.ask(message, _REPLY_TIMEOUT_S)
@@ -203,47 +244,6 @@
             self._source.take_relay(message)
         return Ok()
 
-    def hear(self, beat: FleetBeat) -> None:
-        """Take in the heartbeat of a peer.
-
-        :param beat: the heartbeat.
-        """
-        member = beat.member
-        if member.name == self._own.name:
-            return
-        now_s = self._clock.now_s()
-        peer = self._peers.get(member.name)
-        if peer is None:
-            peer = _Peer(member, store_answers=beat.store_answers)
-            self._peers[member.name] = peer
-        was = (peer.is_live, peer.member)
-        peer.member = member
-        peer.heard_s = now_s
-        peer.store_answers = beat.store_answers
-        peer.is_live = True
-        self._known_s[member.peers] = now_s
-        self._link(member.peers)
-        self._source.hear(beat)
-        if was != (True, member):
-            _log.info(
-                'Instance %s is alive, ready=%s leaving=%s.',
-                member.name,
-                member.ready,
-                member.leaving,
-            )
-            self.on_change()
-
-    def sweep(self) -> None:
-        """Take in which peers have fallen silent, and forget the oldest."""
-        now_s = self._clock.now_s()
-        for name, peer in self._peers.items():
-            if peer.is_live and now_s - peer.heard_s > _LIVE_S:
-                peer.is_live = False
-                _log.warning('Instance %s has fallen silent.', name)
-                self._source.lose(name)
-                self.on_change()
-        self._forget(now_s)
-
     def _forget(self, now_s: float) -> None:
         for name, peer in list(self._peers.items()):
             if now_s - peer.heard_s > _FORGET_S:
