Count targets that were down as cold; keep callers' idle connections

Change: a target that refused two connections in a row counts as cold for its service's time once it answers; idle connections are kept for 75 s. The test of cold targets failed first.

--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -29,6 +29,7 @@
 _MAX_IDLE_S: Final = 4.0  # under the shortest idle timeout of targets
 _MAX_IDLE_ONCE_S: Final = 2.0  # a request that runs once may not be eaten
 _IDLE_MARGIN_S: Final = 1.0
+_DOWN_FAILURES: Final = 2  # one alone may be a lost packet
 _MAX_SUSPECTS: Final = 64
 _log = part_logger('targets')
 _OK: Final = 200
@@ -251,6 +252,8 @@
     ) -> None:
         now_s = self._clock.now_s()
         observed = chosen.observed
+        if attempt.answer is not None and observed.failures >= _DOWN_FAILURES:
+            self._chill(chosen, now_s)
         if attempt.verdict == Verdict.REFUSED:
             observed.shed()
             if attempt.reply is not None and attempt.reply.other_target:
@@ -273,6 +276,13 @@
                 attempt.problem,
             )
 
+    def _chill(self, chosen: Candidate, now_s: float) -> None:
+        """Count a target that was down as cold until it says otherwise."""
+        record = chosen.record
+        cold_s = self._state.policy(record.service).cold_s
+        _log.info('Target %s is back, cold for %.1f s.', record.name, cold_s)
+        self._state.catalogue.chill(record.name, now_s, cold_s)
+
     def _learn_run(self, chosen: Candidate, run_s: float, now_s: float) -> None:
         service = chosen.record.service
         work = self._state.work
--- a/packages/entry/src/tamarackway_entry/instance/_serving.py
+++ b/packages/entry/src/tamarackway_entry/instance/_serving.py
@@ -1,12 +1,14 @@
 """Runs one HTTP server until the instance stops."""
 
-from typing import Any
+from typing import Any, Final
 
 from tamarackway_core.places import Address
 
 from tamarackway_entry.lifecycle import Lifecycle
 from tamarackway_entry.serving import HttpServer
 
+_IDLE_TIMEOUT_S: Final = 75  # longer than callers keep idle connections
+
 
 class ServerService:
     """Serves one application on one address.
@@ -23,7 +25,7 @@
         lifecycle: Lifecycle,
     ) -> None:
         """Remember where to listen."""
-        self.server = HttpServer(app, address, None)
+        self.server = HttpServer(app, address, None, _IDLE_TIMEOUT_S)
         self._lifecycle = lifecycle
         lifecycle.on_stop(self.server.stop_accepting)
 
--- a/packages/entry/src/tamarackway_entry/serving/_server.py
+++ b/packages/entry/src/tamarackway_entry/serving/_server.py
@@ -54,13 +54,6 @@
         """Leave the signals to the daemon."""
         yield
 
-    def keep_idle(self, keep_alive_s: int) -> None:
-        """Change the idle timeout of connections that open from now on.
-
-        :param keep_alive_s: time after which an idle connection is closed.
-        """
-        self.config.timeout_keep_alive = keep_alive_s
-
     def stop_accepting(self) -> None:
         """Close the listening socket and end once nothing is in flight."""
         self.should_exit = True
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -0,0 +1,206 @@
+"""What an instance learns of targets from attempts, without any network."""
+
+from collections.abc import Callable
+
+import anyio
+import pytest
+from tamarackway_core.places import Address, Place
+from tamarackway_core.quarantine import Loss
+from tamarackway_core.steering import (
+    Candidate,
+    Configuration,
+    ServicePolicy,
+    TargetRecord,
+)
+
+from tamarackway_entry.forwarding import (
+    ForwardRequest,
+    Reply,
+    SteeringBounds,
+    SteeringState,
+    TargetSender,
+)
+from tamarackway_entry.forwarding import _sender as sender_module
+from tamarackway_entry.forwarding._sender import Attempt, Verdict
+from tamarackway_entry.tests.test_following import ManualClock
+from tamarackway_entry.tests.test_forwarder import make_request
+from tamarackway_entry.upstream import (
+    Answer,
+    LostError,
+    NotSentError,
+)
+
+RECORD = TargetRecord(
+    name='t',
+    incarnation=1,
+    service='s',
+    place=Place('east', 'east-a'),
+    address=Address('127.0.0.1', 80),
+    slots=3,
+)
+WHOLE = Answer(200, (), b'ok')
+
+
+class FakeConnection:
+    """Answers, or ends, each exchange alike."""
+
+    def __init__(self, outcome: Answer | Exception) -> None:
+        self.outcome = outcome
+        self.idle_since_s: float = 0
+        self.is_open = True
+        self.reusable = True
+        self.is_first = True
+
+    async def exchange(
+        self,
+        request: bytes,
+        accepts: Callable[[Answer], bool],
+    ) -> Answer:
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+    def close(self) -> None:
+        self.is_open = False
+
+
+class FakeDialect:
+    """Takes every answer as told."""
+
+    def __init__(self, reply: Reply) -> None:
+        self.reply = reply
+
+    def write(
+        self,
+        request: ForwardRequest,
+        target: TargetRecord,
+        patience_s: float,
+    ) -> bytes:
+        return b'request'
+
+    def belongs(self, answer: Answer, request_id: str) -> bool | None:
+        return None
+
+    def read(self, answer: Answer) -> Reply:
+        return self.reply
+
+
+class World:
+    """One target and what an instance knows of it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = ManualClock()
+        self.state = SteeringState('east', SteeringBounds())
+        policy = ServicePolicy('s', cold_s=3, cold_per_s=5)
+        self.state.configure(Configuration(1, services={'s': policy}))
+        self.state.catalogue.put(RECORD, self.clock.now_s())
+        self.outcome: Answer | Exception = WHOLE
+        self.accepts = True
+        self.reply = Reply(not_run=False, other_target=False, genuine=True)
+        monkeypatch.setattr(sender_module, 'connect', self.connect)
+        self.sender = TargetSender(
+            self.state,
+            FakeDialect(self.reply),
+            self.clock,
+        )
+
+    async def connect(self, address: Address) -> FakeConnection:
+        if not self.accepts:
+            raise NotSentError('refused')
+        return FakeConnection(self.outcome)
+
+    def choose(self) -> Candidate:
+        observed = self.state.observations.find('t', 1, self.clock.now_s())
+        return Candidate(
+            RECORD,
+            observed,
+            cost_s=0,
+            warm=False,
+            cold=False,
+            load=0,
+            rank=0,
+        )
+
+    def send(self) -> Attempt:
+        async def run() -> Attempt:
+            request = make_request()
+            return await self.sender.send(request, self.choose(), 1, once=True)
+
+        return anyio.run(run)
+
+
+@pytest.fixture
+def world(monkeypatch: pytest.MonkeyPatch) -> World:
+    return World(monkeypatch)
+
+
+@pytest.mark.parametrize(
+    ('failures', 'cold'),
+    [(0, False), (1, False), (2, True), (4, True)],
+)
+def test_a_target_that_was_down_comes_back_cold(
+    world: World,
+    failures: int,
+    *,
+    cold: bool,
+) -> None:
+    """Targets of a failure domain that come back together, before they say."""
+    world.accepts = False
+    for _ in range(failures):
+        assert world.send().verdict == Verdict.NOT_SENT
+        world.clock.moment_s += 5
+    world.accepts = True
+    assert world.send().verdict == Verdict.ANSWERED
+    now_s = world.clock.now_s()
+    assert world.state.catalogue.is_cold('t', now_s) is cold
+    assert not world.state.catalogue.is_cold('t', now_s + 3.1)
+
+
+def test_a_target_that_accepts_again_did_not_die_of_a_request(
+    world: World,
+) -> None:
+    world.outcome = LostError('reset')
+    loss = Loss('digest', 't', 1)
+
+    async def run(accepts: bool) -> bool:
+        world.accepts = accepts
+        world.sender.suspect(world.choose(), loss)
+        with anyio.move_on_after(0.1):
+            await world.sender.run()
+        now_s = world.clock.now_s()
+        return bool(world.state.quarantine.list_recent(now_s))
+
+    assert world.send().verdict == Verdict.LOST
+    assert not anyio.run(run, True)
+    assert anyio.run(run, False)
+    assert world.choose().observed.is_ejected(world.clock.now_s())
+
+
+def test_load_is_given_back_after_every_end(world: World) -> None:
+    for outcome in (WHOLE, LostError('reset')):
+        world.outcome = outcome
+        world.send()
+        assert world.choose().observed.in_flight == 0
+
+
+def test_an_answer_without_signature_is_no_success(world: World) -> None:
+    world.sender = TargetSender(
+        world.state,
+        FakeDialect(Reply(not_run=False, other_target=False, genuine=False)),
+        world.clock,
+    )
+    assert world.send().verdict == Verdict.LOST
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        Reply(not_run=True, other_target=False, genuine=False),
+        Reply(not_run=False, other_target=True, genuine=False),
+    ],
+)
+def test_what_was_not_run_is_told_apart(world: World, reply: Reply) -> None:
+    world.sender = TargetSender(world.state, FakeDialect(reply), world.clock)
+    attempt = world.send()
+    assert attempt.verdict == Verdict.REFUSED
+    assert not attempt.may_have_run
