--- a/packages/core/src/tamarackway_core/steering/_repeats.py
+++ b/packages/core/src/tamarackway_core/steering/_repeats.py
@@ -19,11 +19,20 @@
 
     def __init__(self, window_s: float, ratio: float, extra: float) -> None:
         """Start without requests."""
+        self._requests_s: deque[float] = deque()
+        self._repeats_s: deque[float] = deque()
+        self.change(window_s, ratio, extra)
+
+    def change(self, window_s: float, ratio: float, extra: float) -> None:
+        """Follow a changed budget; what was counted stays.
+
+        :param window_s: window of the budget in seconds.
+        :param ratio: repeats for each request within a window.
+        :param extra: repeats that all instances may add in a window.
+        """
         self._window_s = window_s
         self._ratio = ratio
         self._extra = extra
-        self._requests_s: deque[float] = deque()
-        self._repeats_s: deque[float] = deque()
 
     def count_request(self, now_s: float) -> None:
         """Count a request of a caller.
--- a/packages/entry/src/tamarackway_entry/fleet/_registry.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_registry.py
@@ -67,17 +67,6 @@
                 _log.info('This instance is not enrolled yet: %s.', error)
             await anyio.sleep(backoff.next_s())
 
-    async def withdraw(self, names: list[str]) -> None:
-        """Remove rows of instances that are gone for good.
-
-        :param names: names of the instances.
-        """
-        writes = [RowWrite(f'{_INSTANCE_PREFIX}{name}', None) for name in names]
-        try:
-            await self._store.write(_TABLE, writes)
-        except (StoreUnavailableError, StoreInDoubtError) as error:
-            _log.info('Rows of lost instances stay for now: %s.', error)
-
     async def _try_enrol(self, member: FleetMember) -> Enrolment:
         own = RowWrite(
             f'{_INSTANCE_PREFIX}{member.name}',
--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -18,12 +18,16 @@
 
 from tamarackway_entry.fleet._registry import FleetRegistry
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.links import PeerLink, PeerLostError, PeerServer
+from tamarackway_entry.links import (
+    PeerLink,
+    PeerLostError,
+    PeerServer,
+    send_beats,
+)
 from tamarackway_entry.telemetry import part_logger
 
 _BEAT_S: Final = 0.4
 _REPLY_TIMEOUT_S: Final = 0.8  # several round trips between far regions
-_MAX_MISSED: Final = 2
 _LIVE_S: Final = 1.6  # two heartbeats and the wait for the second reply
 _FORGET_S: Final = 60.0
 _FOLLOW_TASK: Final = 'follow'
@@ -215,26 +219,18 @@
         with scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(link.run)
-                group.start_soon(self._beat, link)
-
-    async def _beat(self, link: PeerLink) -> None:
-        missed = 0
-        while True:
-            await anyio.sleep(_BEAT_S)
-            try:
-                reply = await link.ask(
-                    self._source.describe(),
+                group.start_soon(
+                    send_beats,
+                    link,
+                    _BEAT_S,
                     _REPLY_TIMEOUT_S,
+                    self._source.describe,
+                    self._take_reply,
                 )
-            except PeerLostError:
-                missed += 1
-                if missed >= _MAX_MISSED:
-                    await link.reset()
-                    missed = 0
-                continue
-            missed = 0
-            if isinstance(reply, FleetBeat):
-                self.hear(reply)
+
+    def _take_reply(self, reply: Message) -> None:
+        if isinstance(reply, FleetBeat):
+            self.hear(reply)
 
     async def _answer(self, message: Message) -> Message:
         if isinstance(message, FleetBeat):
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -31,6 +31,11 @@
 from tamarackway_entry.kernel import Clock
 
 _NOT_FOUND: Final = 404
+_NO_ROUTE: Final = ForwardAnswer(
+    _NOT_FOUND,
+    Origin.FAILURE,
+    reason='no route matches',
+)
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
@@ -104,12 +109,15 @@
         :param gone: set once the caller has left. Then nothing more is sent
             to targets, and what may run twice is stopped there.
         """
-        passage = None
         await self._wait_until_ready(request)
-        answer = self._refuse_early(request)
-        if answer is None:
-            passage = self._begin(request, gone)
-            answer = await self._pass_on(passage)
+        route = self._state.routes.find(request.host, request.path)
+        refusal = self._refuse_early(request, route)
+        if refusal is not None or route is None:
+            answer = refusal or _NO_ROUTE
+            self._record(request, answer, None)
+            return answer
+        passage = self._begin(request, route, gone)
+        answer = await self._pass_on(passage)
         self._record(request, answer, passage)
         return answer
 
@@ -133,13 +141,15 @@
             ):
                 await self._state.ready.wait()
 
-    def _refuse_early(self, request: ForwardRequest) -> ForwardAnswer | None:
+    def _refuse_early(
+        self,
+        request: ForwardRequest,
+        route: Route | None,
+    ) -> ForwardAnswer | None:
         if self._state.configuration is None:
             return _refuse('no configuration is known yet', _START_RETRY_S)
-        route = self._state.routes.find(request.host, request.path)
         if route is None:
-            reason = 'no route matches'
-            return ForwardAnswer(_NOT_FOUND, Origin.FAILURE, reason=reason)
+            return _NO_ROUTE
         digest = _fingerprint(request)
         if self._state.quarantine.is_quarantined(digest, self._clock.now_s()):
             return _refuse('targets died while they ran this request', 0)
@@ -148,11 +158,9 @@
     def _begin(
         self,
         request: ForwardRequest,
+        route: Route,
         gone: anyio.Event,
     ) -> Passage:
-        route = self._state.routes.find(request.host, request.path)
-        if route is None:
-            raise LookupError('the route was checked before')
         service = pick_service(route.shares, random.random())  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         now_s = self._clock.now_s()
         self._state.demand.count(service, now_s)
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -43,8 +43,22 @@
             self.work,
             self.demand,
         )
-        self.chooser.max_shift_per_s = bounds.max_shift_per_s
         self._budgets: dict[str, RepeatBudget] = {}
+        self.change_bounds(bounds)
+
+    def change_bounds(self, bounds: SteeringBounds) -> None:
+        """Follow changed bounds; what was counted under the old ones stays.
+
+        :param bounds: bounds of the platform.
+        """
+        self.bounds = bounds
+        self.chooser.max_shift_per_s = bounds.max_shift_per_s
+        for budget in self._budgets.values():
+            budget.change(
+                bounds.repeat_window_s,
+                bounds.repeat_ratio,
+                bounds.repeat_extra,
+            )
 
     def configure(self, configuration: Configuration) -> bool:
         """Take a configuration unless it is older, and tell whether.
--- a/packages/entry/src/tamarackway_entry/peers/_service.py
+++ b/packages/entry/src/tamarackway_entry/peers/_service.py
@@ -1,6 +1,7 @@
 """Membership and messages among entry instances."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, Final, Protocol, TypeVar
 
 import anyio
@@ -10,14 +11,18 @@
 from tamarackway_core.wire import Heartbeat, Message, Ok
 
 from tamarackway_entry.kernel import Clock
-from tamarackway_entry.links import PeerLink, PeerLostError, PeerServer
+from tamarackway_entry.links import (
+    PeerLink,
+    PeerLostError,
+    PeerServer,
+    send_beats,
+)
 from tamarackway_entry.platform import InventoryService
 from tamarackway_entry.settings import Settings
 from tamarackway_entry.telemetry import Metrics, part_logger
 
 _REPLY_TIMEOUT_S: Final = 1.0
 _ASK_TIMEOUT_S: Final = 1.0
-_MAX_MISSED: Final = 2
 _log = part_logger('peers')
 _Kind = TypeVar('_Kind')
 _Handler = Callable[[Any], Awaitable[Message]]
@@ -182,28 +187,24 @@
         with scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(link.run)
-                group.start_soon(self._beat, link)
-
-    async def _beat(self, link: PeerLink) -> None:
-        missed = 0
-        while True:
-            await anyio.sleep(self._settings.peers.heartbeat_s)
-            if self.self_view is None:
-                continue
-            heartbeat = Heartbeat(self.self_view.describe())
-            try:
-                reply = await link.ask(heartbeat, _REPLY_TIMEOUT_S)
-            except PeerLostError:
-                missed += 1
-                if missed >= _MAX_MISSED:
-                    await link.reset()
-                    missed = 0
-                continue
-            missed = 0
-            if isinstance(reply, Heartbeat):
-                name = reply.member.instance.name
-                self._names[name] = str(link.address)
-                self._hear(reply.member)
+                group.start_soon(
+                    send_beats,
+                    link,
+                    self._settings.peers.heartbeat_s,
+                    _REPLY_TIMEOUT_S,
+                    self._make_heartbeat,
+                    partial(self._take_reply, str(link.address)),
+                )
+
+    def _make_heartbeat(self) -> Heartbeat | None:
+        if self.self_view is None:
+            return None
+        return Heartbeat(self.self_view.describe())
+
+    def _take_reply(self, address: str, reply: Message) -> None:
+        if isinstance(reply, Heartbeat):
+            self._names[reply.member.instance.name] = address
+            self._hear(reply.member)
 
     async def _take_heartbeat(self, message: Heartbeat) -> Message:
         self._hear(message.member)
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -206,6 +206,70 @@
     assert not sender.names
 
 
+def test_an_older_configuration_is_passed_over() -> None:
+    state = make_state()
+    assert state.configuration is not None
+    assert state.configure(replace(state.configuration, version=3))
+    assert not state.configure(Configuration(2))
+    assert not state.configure(Configuration(3))
+    assert state.routes.find('h.example', '/a/x') is not None
+
+
+def test_changed_bounds_hold_for_what_was_counted_before() -> None:
+    state = make_state()
+    budget = state.budget('s')
+    taken = sum(budget.take(1, 100) for _ in range(2000))
+    state.change_bounds(replace(BOUNDS, repeat_extra=2 * taken))
+    assert 0 < sum(budget.take(1, 100) for _ in range(4000)) < 2 * taken
+
+
+class LongSender(FakeSender):
+    """Never answers, and tells whether its attempt was stopped."""
+
+    stopped = False
+
+    async def send(
+        self,
+        request: ForwardRequest,
+        chosen: Candidate,
+        left_s: float,
+        *,
+        once: bool,
+    ) -> Attempt:
+        self.names.append(chosen.record.name)
+        try:
+            await anyio.sleep(0.3)
+        except anyio.get_cancelled_exc_class():
+            self.stopped = True
+            raise
+        return OK
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_only_what_may_run_again_is_stopped_once_its_caller_leaves(
+    *,
+    idempotent: bool,
+) -> None:
+    sender = LongSender([])
+    forwarder = Forwarder(
+        make_state(idempotent=idempotent),
+        sender,  # type: ignore[arg-type]
+        ManualClock(),
+        lambda _request, _answer, _passage: None,
+    )
+
+    async def serve() -> None:
+        gone = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(forwarder.serve, make_request(), gone)
+            await anyio.sleep(0.05)
+            gone.set()
+
+    anyio.run(serve)
+    assert len(sender.names) == 1
+    assert sender.stopped is idempotent
+
+
 def test_an_instance_without_a_configuration_refuses_truthfully() -> None:
     answer, _ = run(make_state(configured=False), [])
     assert (answer.status, answer.origin) == (503, Origin.REFUSAL)
--- a/packages/standins/src/tamarackway_standins/store/_app.py
+++ b/packages/standins/src/tamarackway_standins/store/_app.py
@@ -28,8 +28,8 @@
         Route('/rows-tx', rows.transact, methods=['POST']),
         Route('/rows-get', rows.get),
         Route('/rows-feed', rows.feed),
-        Route('/blob-put/{name}', objects.put, methods=['PUT']),
-        Route('/blob-get/{name}', objects.get),
+        Route('/blob-put/{name:path}', objects.put, methods=['PUT']),
+        Route('/blob-get/{name:path}', objects.get),
         # Not of the protocol: lets tests lose the history.
         Route('/forget', rows.forget, methods=['POST']),
     ]
