Deliver a target's 5xx answer when its retry brings nothing better

Cause: an idempotent request whose first target answered 500 was sent again within the budget of retries. When the retry was refused, lost or timed out, the caller got a 502, 503 or 504 made here, although the answer of the first target was ready. Ruled out: delivering the 500 at once; the retry brings a good answer in most cases, and the budget bounds it. Change: the failed answer is kept with the request and delivered when nothing better comes.

--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -29,6 +29,7 @@
 )
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
+from tamarackway_entry.upstream import Answer
 
 _NOT_FOUND: Final = 404
 _NO_ROUTE: Final = ForwardAnswer(
@@ -59,6 +60,7 @@
     :param tried: targets that got it or could not.
     :param sent: targets that it was sent to.
     :param may_have_run: whether one of them may have run it.
+    :param failed: answer of a target that failed it, unless a better comes.
     :param trail: what was tried, for logs.
     """
 
@@ -70,6 +72,7 @@
     tried: set[str] = field(default_factory=set)
     sent: int = 0
     may_have_run: bool = False
+    failed: ForwardAnswer | None = None
     trail: list[str] = field(default_factory=list)
 
 
@@ -251,16 +254,12 @@
     ) -> ForwardAnswer | None:
         """Return the answer, or None if another target may be tried."""
         if attempt.verdict == Verdict.ANSWERED and attempt.answer is not None:
+            answer = _deliver(attempt.answer)
             if attempt.failed and self._may_repeat(passage):
+                passage.failed = answer
                 return None
             self._state.quarantine.clear(_fingerprint(passage.request))
-            found = attempt.answer
-            return ForwardAnswer(
-                found.status,
-                Origin.TARGET,
-                found.headers,
-                found.body,
-            )
+            return answer
         if attempt.verdict in {Verdict.TIMED_OUT, Verdict.ABANDONED}:
             return self._give_up(passage, attempt.problem)
         if attempt.verdict == Verdict.NOT_SENT:
@@ -278,6 +277,8 @@
         return budget.take(self._state.chooser.instances, self._clock.now_s())
 
     def _give_up(self, passage: Passage, reason: str) -> ForwardAnswer:
+        if passage.failed is not None:
+            return passage.failed
         if not passage.may_have_run:
             return _refuse(reason, _RETRY_AFTER_S)
         late = self._clock.now_s() >= passage.ends_s - _LEAST_LEFT_S
@@ -295,6 +296,15 @@
     return f'{where} {attempt.verdict} {inputs} {times} {attempt.problem}'
 
 
+def _deliver(answer: Answer) -> ForwardAnswer:
+    return ForwardAnswer(
+        answer.status,
+        Origin.TARGET,
+        answer.headers,
+        answer.body,
+    )
+
+
 async def _cancel_once_gone(gone: anyio.Event, group: TaskGroup) -> None:
     await gone.wait()
     group.cancel_scope.cancel()
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -150,6 +150,10 @@
         ([REFUSED, REFUSED], False, 503, Origin.REFUSAL, 2),
         ([REFUSED, REFUSED], True, 503, Origin.REFUSAL, 2),
         ([LOST, REFUSED], True, 502, Origin.FAILURE, 2),
+        ([FAILED, LOST], True, 500, Origin.TARGET, 2),
+        ([FAILED, REFUSED], True, 500, Origin.TARGET, 2),
+        ([FAILED, TIMED_OUT], True, 500, Origin.TARGET, 2),
+        ([FAILED, *[NOT_SENT] * 3], True, 500, Origin.TARGET, 4),
         ([NOT_SENT] * 4, False, 503, Origin.REFUSAL, 4),
     ],
 )
