Count latency by route; read settings files in one place

The latency histogram had service and outcome only, so an engineer could not tell which route is slow.

--- a/packages/core/src/tamarackway_core/tests/test_once_machine.py
+++ b/packages/core/src/tamarackway_core/tests/test_once_machine.py
@@ -7,7 +7,7 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import pytest
 from hypothesis import strategies as st
@@ -39,6 +39,13 @@
     lost_claimant,
 )
 from tamarackway_core.tests.fuzzing import FUZZING
+from tamarackway_core.tests.once_model import (
+    Entry,
+    Record,
+    Run,
+    Sending,
+    Table,
+)
 
 ENTRIES = ('e1', 'e2', 'e3')
 KEYS = ('k1', 'k2', 'k3')
@@ -47,66 +54,6 @@
 REMEMBERED = 2
 
 
-@dataclass
-class Entry:
-    """An entry instance, which is replaced when it is killed."""
-
-    name: str
-    incarnation: str
-    ledger: ClaimLedger
-
-
-@dataclass
-class Sending:
-    """A request that a caller has sent to one entry instance."""
-
-    entry: Entry
-    key: str
-    digest: str
-    number: int
-    is_first: bool
-
-
-@dataclass
-class Run:
-    """An attempt that is under way."""
-
-    sending: Sending
-    attempt: Attempt
-    protocol: ClaimProtocol
-    command: Command
-    dispatched: bool = False
-    has_run: bool = False
-
-
-@dataclass
-class Record:
-    """An outcome that the entry instance still has to write."""
-
-    entry: Entry
-    key: str
-    claim: Dispatch
-    result: RunResult
-
-
-@dataclass
-class Table:
-    """Rows with revisions, and writes that arrive late."""
-
-    rows: dict[str, tuple[int, ClaimRow]] = field(default_factory=dict)
-    late: list[tuple[str, ClaimRow, int]] = field(default_factory=list)
-    revision: int = 0
-
-    def write(self, key: str, row: ClaimRow, expect: int) -> int | None:
-        """Write a row and return its revision, or None after a conflict."""
-        revision, _ = self.rows.get(key, (0, None))
-        if revision != expect:
-            return None
-        self.revision += 1
-        self.rows[key] = (self.revision, row)
-        return self.revision
-
-
 class OnceMachine(RuleBasedStateMachine):
     """Sends, delays, loses and kills, and checks what callers are told."""
 
--- a/packages/entry/src/tamarackway_entry/callers/_app.py
+++ b/packages/entry/src/tamarackway_entry/callers/_app.py
@@ -185,7 +185,11 @@
         received_s: float,
     ) -> None:
         elapsed_s = self._clock.now_s() - received_s
-        histogram = self._metrics.latency_s.labels(service, result.outcome)
+        histogram = self._metrics.latency_s.labels(
+            service,
+            service,
+            result.outcome,
+        )
         histogram.observe(elapsed_s)
         if result.refusal is not None:
             reason = result.refusal.reason
--- a/packages/entry/src/tamarackway_entry/forwarding/_record.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_record.py
@@ -18,6 +18,9 @@
 _MAX_LINES_PER_S: Final = 200.0  # about 100 KB/s of log
 _SERVER_ERROR: Final = 500
 _NO_SERVICE: Final = '-'
+_NO_ROUTE: Final = '-'
+_OTHER_ROUTE: Final = 'other'
+_MAX_ROUTES: Final = 64  # each adds a histogram to the metrics
 _log = part_logger('request')
 
 
@@ -43,6 +46,7 @@
         self._metrics = metrics
         self._clock = clock
         self._lines = ShareBucket(_MAX_LINES_PER_S, clock.now_s())
+        self._routes: set[str] = set()
 
     def record(
         self,
@@ -59,7 +63,8 @@
         elapsed_s = self._clock.now_s() - request.received_s
         service = passage.wish.service if passage else _NO_SERVICE
         outcome = str(answer.origin)
-        self._metrics.latency_s.labels(service, outcome).observe(elapsed_s)
+        labels = (self._label_route(passage), service, outcome)
+        self._metrics.latency_s.labels(*labels).observe(elapsed_s)
         if answer.origin != Origin.TARGET:
             self._metrics.refusals.labels(service, answer.reason).inc()
         configuration = self._state.configuration
@@ -84,3 +89,14 @@
             _log.info('Request ended.', extra=details)
         else:
             self._metrics.lines_left_out.inc()
+
+    def _label_route(self, passage: Passage | None) -> str:
+        """Return the label of a route; those beyond the limit share one."""
+        if passage is None:
+            return _NO_ROUTE
+        name = passage.route.name
+        if name not in self._routes:
+            if len(self._routes) >= _MAX_ROUTES:
+                return _OTHER_ROUTE
+            self._routes.add(name)
+        return name
--- a/packages/entry/src/tamarackway_entry/settings/__init__.py
+++ b/packages/entry/src/tamarackway_entry/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackway_entry.settings._load import load_settings as load_settings
 from tamarackway_entry.settings._load import parse_settings as parse_settings
+from tamarackway_entry.settings._load import read_file as read_file
 from tamarackway_entry.settings._model import AdminSettings as AdminSettings
 from tamarackway_entry.settings._model import CallerSettings as CallerSettings
 from tamarackway_entry.settings._model import (
--- a/packages/entry/src/tamarackway_entry/settings/_load.py
+++ b/packages/entry/src/tamarackway_entry/settings/_load.py
@@ -22,14 +22,22 @@
     :param path: TOML file.
     :raises SettingsError: with every fault of the file, if it has any.
     """
+    return parse_settings(read_file(path))
+
+
+def read_file(path: Path) -> str:
+    """Return the text of a settings file of any format.
+
+    :param path: the file, in UTF-8.
+    :raises SettingsError: if it cannot be read.
+    """
     try:
-        text = path.read_text(encoding='utf-8')
+        return path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(
             f'cannot read {path}: {error}',
-            'name a readable file with --settings',
+            'name a readable file',
         ) from error
-    return parse_settings(text)
 
 
 def parse_settings(text: str) -> Settings:
--- a/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
@@ -29,7 +29,7 @@
         self.latency_s = prom.Histogram(
             'tamarackway_request_seconds',
             'Time from receipt of a request to its answer.',
-            ['service', 'outcome'],
+            ['route', 'service', 'outcome'],
             buckets=_LATENCY_BUCKETS_S,
             registry=registry,
         )
--- a/packages/entry/src/tamarackway_entry/tests/test_output.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_output.py
@@ -92,7 +92,7 @@
 
 def test_metrics_are_rendered_with_their_labels() -> None:
     metrics = Metrics()
-    metrics.latency_s.labels('s', 'target').observe(0.03)
+    metrics.latency_s.labels('r', 's', 'target').observe(0.03)
     metrics.lines_left_out.inc()
     text = metrics.render().decode()
     assert 'tamarackway_request_seconds_bucket{le="0.05"' in text
