Keep heartbeats short, and let many instances send fewer

Cause: every instance tells every other one the same 382 bytes 2.5 times a second, and gets as much back. Change: the sender's description goes out only when it changed, was not answered, or is 4 s old (177 bytes without it); a reply holds one only if the question did. Over 12 peers the interval grows with their number, but news and the heartbeats of the instance that follows the store do not wait.

--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -34,7 +34,8 @@
 class FleetBeat:
     """Tells a peer that the sender is alive, and what it knows.
 
-    :param member: the sender.
+    :param name: name of the sender.
+    :param member: the sender, or None if the peer knows it as it is.
     :param positions: version of the last change of each table that it knows.
     :param ages_s: time since the store itself confirmed that to it; tables
         that it only hears of from peers are left out.
@@ -43,7 +44,8 @@
     :param losses: targets that died lately while they ran a request.
     """
 
-    member: FleetMember
+    name: str
+    member: FleetMember | None
     positions: Mapping[str, int]
     ages_s: Mapping[str, float]
     store_answers: bool
--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Final, Protocol
 
 import anyio
@@ -16,6 +17,12 @@
     RowsRelay,
 )
 
+from tamarackway_entry.fleet._pace import (
+    BEAT_S,
+    REPLY_TIMEOUT_S,
+    BeatPacer,
+    silence_s,
+)
 from tamarackway_entry.fleet._registry import FleetRegistry
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.links import (
@@ -26,9 +33,6 @@
 )
 from tamarackway_entry.telemetry import part_logger
 
-_BEAT_S: Final = 0.4
-_REPLY_TIMEOUT_S: Final = 0.8  # several round trips between far regions
-_LIVE_S: Final = 1.6  # two heartbeats and the wait for the second reply
 _FORGET_S: Final = 60.0
 _FOLLOW_TASK: Final = 'follow'
 _log = part_logger('fleet')
@@ -40,12 +44,12 @@
     def describe(self) -> FleetBeat:
         """Return the heartbeat of this moment."""
 
-    def hear(self, beat: FleetBeat) -> None:
+    def hear(self, beat: FleetBeat, member: FleetMember) -> None:
         """Take in the heartbeat of a peer.
 
         :param beat: the heartbeat.
+        :param member: the peer.
         """
-        """Take in the heartbeat of a peer."""
 
     def take_relay(self, relay: RowsRelay) -> None:
         """Take changed rows that a peer passes on."""
@@ -90,6 +94,7 @@
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._group: TaskGroup | None = None
         self._secret = ''
+        self._follows = True
 
     def list_live(self) -> list[FleetMember]:
         """Return the other instances that are alive."""
@@ -129,8 +134,9 @@
             group.start_soon(server.run)
             for member in enrolment.members:
                 self._expect(member)
+            self.on_change()
             while True:
-                await anyio.sleep(_BEAT_S)
+                await anyio.sleep(BEAT_S)
                 self.sweep()
 
     def relay(self, relay: RowsRelay) -> None:
@@ -154,11 +160,13 @@
 
         :param beat: the heartbeat.
         """
+        peer = self._peers.get(beat.name)
         member = beat.member
-        if member.name == self._own.name:
+        if member is None and peer is not None:
+            member = peer.member
+        if member is None or beat.name == self._own.name:
             return
         now_s = self._clock.now_s()
-        peer = self._peers.get(member.name)
         if peer is None:
             peer = _Peer(member, store_answers=beat.store_answers)
             self._peers[member.name] = peer
@@ -169,7 +177,7 @@
         peer.is_live = True
         self._known_s[member.peers] = now_s
         self._link(member.peers)
-        self._source.hear(beat)
+        self._source.hear(beat, member)
         if was != (True, member):
             _log.info(
                 'Instance %s is alive, ready=%s leaving=%s.',
@@ -181,9 +189,11 @@
 
     def sweep(self) -> None:
         """Take in which peers have fallen silent, and forget the oldest."""
+        self._follows = self.is_elected()
         now_s = self._clock.now_s()
+        longest_s = silence_s(len(self._peers))
         for name, peer in self._peers.items():
-            if peer.is_live and now_s - peer.heard_s > _LIVE_S:
+            if peer.is_live and now_s - peer.heard_s > longest_s:
                 peer.is_live = False
                 _log.warning('Instance %s has fallen silent.', name)
                 self._source.lose(name)
@@ -192,7 +202,7 @@
 
     async def _send(self, link: PeerLink, message: Message) -> None:
         try:
-            await link.ask(message, _REPLY_TIMEOUT_S)
+            await link.ask(message, REPLY_TIMEOUT_S)
         except PeerLostError as error:
             _log.debug('%s was not told: %s.', link.address, error)
 
@@ -201,7 +211,6 @@
         peer.heard_s = self._clock.now_s()
         self._peers.setdefault(member.name, peer)
         self._link(member.peers)
-        self.on_change()
 
     def _link(self, address: str) -> None:
         if address in self._links or address == self._own.peers:
@@ -217,25 +226,45 @@
 
     async def _keep(self, link: PeerLink, scope: anyio.CancelScope) -> None:
         with scope:
+            pacer = BeatPacer()
             async with anyio.create_task_group() as group:
                 group.start_soon(link.run)
                 group.start_soon(
                     send_beats,
                     link,
-                    _BEAT_S,
-                    _REPLY_TIMEOUT_S,
-                    self._source.describe,
-                    self._take_reply,
+                    BEAT_S,
+                    REPLY_TIMEOUT_S,
+                    partial(self._make_beat, pacer),
+                    partial(self._take_reply, str(link.address), pacer),
                 )
 
-    def _take_reply(self, reply: Message) -> None:
+    def _make_beat(self, pacer: BeatPacer) -> FleetBeat | None:
+        return pacer.pace(
+            self._source.describe(),
+            len(self._peers),
+            self._clock.now_s(),
+            follows=self._follows,
+        )
+
+    def _take_reply(
+        self,
+        address: str,
+        pacer: BeatPacer,
+        reply: Message,
+    ) -> None:
+        pacer.confirm()
         if isinstance(reply, FleetBeat):
             self.hear(reply)
+            return
+        for peer in self._peers.values():
+            if peer.member.peers == address and peer.is_live:
+                peer.heard_s = self._clock.now_s()
 
     async def _answer(self, message: Message) -> Message:
         if isinstance(message, FleetBeat):
             self.hear(message)
-            return self._source.describe()
+            # Who describes itself may know nothing of this instance yet.
+            return self._source.describe() if message.member else Ok()
         if isinstance(message, RowsRelay):
             self._source.take_relay(message)
         return Ok()
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -30,7 +30,8 @@
         lifecycle: Lifecycle,
         clock: Clock,
     ) -> None:
-        """Start alone."""
+        """Start without knowing how many others there are."""
+        state.chooser.instances = 0
         self._own = own
         self._state = state
         self._follow = follow
@@ -47,6 +48,7 @@
         """Return the heartbeat of this moment."""
         now_s = self._clock.now_s()
         return FleetBeat(
+            name=self._own.name,
             member=self._describe_member(),
             positions=self._follow.positions(),
             ages_s=self._follow.ages_s(),
@@ -55,15 +57,15 @@
             losses=self._state.quarantine.list_recent(now_s),
         )
 
-    def hear(self, beat: FleetBeat) -> None:
+    def hear(self, beat: FleetBeat, member: FleetMember) -> None:
         """Take in the heartbeat of a peer."""
         for table, last_change in beat.positions.items():
             age_s = beat.ages_s.get(table)
             if age_s is not None:
                 self._follow.compare(table, last_change, age_s)
         self._state.demand.hear(
-            beat.member.name,
-            beat.member.region,
+            member.name,
+            member.region,
             beat.rates,
         )
         now_s = self._clock.now_s()
--- a/packages/entry/src/tamarackway_entry/tests/test_fleet.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -2,12 +2,15 @@
 
 import random
 from collections.abc import Sequence
+from dataclasses import replace
 
 import pytest
+from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import ColdGate, RepeatBudget
 from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay
 
 from tamarackway_entry.fleet import FleetRegistry, FleetService, list_entries
+from tamarackway_entry.fleet._pace import BEAT_S, BeatPacer, silence_s
 from tamarackway_entry.tests.test_following import FakeStore, ManualClock
 
 
@@ -31,7 +34,14 @@
 
 
 def make_beat(member: FleetMember, *, store_answers: bool = True) -> FleetBeat:
-    return FleetBeat(member, {}, {}, store_answers=store_answers, rates={})
+    return FleetBeat(
+        member.name,
+        member,
+        {},
+        {},
+        store_answers=store_answers,
+        rates={},
+    )
 
 
 class Source:
@@ -44,7 +54,7 @@
     def describe(self) -> FleetBeat:
         return self.beat
 
-    def hear(self, beat: FleetBeat) -> None:
+    def hear(self, beat: FleetBeat, member: FleetMember) -> None:
         """Learn nothing."""
 
     def take_relay(self, relay: RowsRelay) -> None:
@@ -105,6 +115,102 @@
     assert repeats <= 62
 
 
+def _send(
+    beats: Sequence[FleetBeat],
+    peers: int,
+    *,
+    follows: bool = False,
+    lost: Sequence[int] = (),
+) -> list[FleetBeat]:
+    pacer = BeatPacer()
+    sent = []
+    for number, beat in enumerate(beats):
+        moment_s = number * BEAT_S
+        paced = pacer.pace(beat, peers, moment_s, follows=follows)
+        if paced is None:
+            continue
+        sent.append(paced)
+        if number not in lost:
+            pacer.confirm()
+    return sent
+
+
+@pytest.mark.parametrize(
+    ('peers', 'follows', 'sent'),
+    [
+        (10, False, 100),
+        (60, False, 20),
+        (60, True, 100),
+        (6800, False, 10),
+    ],
+)
+def test_heartbeats_of_many_instances_come_less_often(
+    peers: int,
+    sent: int,
+    *,
+    follows: bool,
+) -> None:
+    """Many small instances: heartbeats must not fill their links."""
+    beats = [make_beat(make_member('i1'))] * 100
+    assert len(_send(beats, peers, follows=follows)) == sent
+
+
+@pytest.mark.parametrize(
+    'news',
+    [
+        make_beat(make_member('i1', leaving=True)),
+        make_beat(make_member('i1', ready=False)),
+        make_beat(make_member('i1'), store_answers=False),
+        replace(make_beat(make_member('i1')), losses=(Loss('r', 't', 1),)),
+    ],
+)
+def test_news_do_not_wait_for_the_next_heartbeat(news: FleetBeat) -> None:
+    usual = make_beat(make_member('i1'))
+    assert len(_send([usual, news, news], 60)) == 2
+
+
+@pytest.mark.parametrize(
+    ('lost', 'described'),
+    [((), 1), ((0,), 2), ((1, 2), 3)],
+)
+def test_a_peer_is_told_again_who_speaks_only_after_a_loss(
+    lost: Sequence[int],
+    described: int,
+) -> None:
+    beats = [make_beat(make_member('i1'))] * 9
+    sent = _send(beats, 10, lost=lost)
+    assert len(sent) == 9
+    assert sum(beat.member is not None for beat in sent) == described
+
+
+def test_a_short_heartbeat_keeps_a_known_instance_alive() -> None:
+    clock = ManualClock()
+    fleet, source = make_fleet('i1', clock)
+    whole = make_beat(make_member('i2'))
+    fleet.hear(replace(whole, member=None))
+    assert not fleet.list_known()
+    fleet.hear(whole)
+    clock.moment_s += 1.5
+    fleet.hear(replace(whole, member=None))
+    clock.moment_s += 1.5
+    fleet.sweep()
+    assert fleet.list_live() == [make_member('i2')]
+    assert not source.lost
+
+
+def test_a_silent_instance_among_many_is_lost_after_its_heartbeats() -> None:
+    clock = ManualClock()
+    fleet, source = make_fleet('i1', clock)
+    for number in range(2, 61):
+        fleet.hear(make_beat(make_member(f'i{number}')))
+    clock.moment_s += silence_s(59) - 0.1
+    fleet.sweep()
+    assert not source.lost
+    clock.moment_s += 0.2
+    fleet.sweep()
+    assert len(source.lost) == 59
+
+
 def test_one_of_those_that_reach_the_store_follows_it() -> None:
     clock = ManualClock()
     names = ['i1', 'i2', 'i3']
