Keep the budget of repeats when all instances restart

Until they had read the list of instances they also took themselves for the only one. Before enrolment the number of instances is unknown and nothing shared is used.

--- a/packages/core/src/tamarackway_core/steering/_cold.py
+++ b/packages/core/src/tamarackway_core/steering/_cold.py
@@ -26,15 +26,18 @@
 
         :param target: name of a cold target.
         :param per_s: requests a second that the target bears from all.
-        :param instances: entry instances that may send to it.
+        :param instances: entry instances that may send to it, or 0 while
+            their number is not known.
         :param position: place of this instance among them, from 0.
         :param now_s: monotonic time in seconds.
 
         The whole number of requests is divided evenly; the first instances
         get one more where it does not divide.
         """
+        if not instances:
+            return False
         total = int(per_s * _USED_SHARE)
-        own, over = divmod(total, max(instances, 1))
+        own, over = divmod(total, instances)
         allowed = own + int(position < over)
         sent_s = self._sent_s.get(target)
         if sent_s is None:
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -281,6 +281,36 @@
     assert 0 < repeats <= 0.2 * 100 * instances + 62
 
 
+@pytest.mark.parametrize('killed_at_s', [10, 12, 15, 19])
+def test_the_repeat_budget_holds_when_all_instances_restart(
+    killed_at_s: int,
+) -> None:
+    """Every process is killed once targets shed, and they go on shedding."""
+    instances = 11
+    repeats_s: list[float] = []
+    for _ in range(instances):
+        budget = RepeatBudget(10, 0.2, 62)
+        for step in range(300):
+            now_s = step / 10
+            if now_s == killed_at_s:
+                budget = RepeatBudget(10, 0.2, 62, started_s=now_s)
+            budget.count_request(now_s)
+            while now_s > 9 and budget.take(instances, now_s):
+                repeats_s.append(now_s)
+    most = max(
+        sum(start <= at_s < start + 10 for at_s in repeats_s)
+        for start in range(25)
+    )
+    assert 0 < most <= 0.2 * 100 * instances + 62
+
+
+def test_nothing_shared_is_used_while_the_instances_are_not_counted() -> None:
+    budget = RepeatBudget(10, 0.2, 62)
+    assert not budget.take(0, 20)
+    assert budget.take(1, 20)
+    assert not ColdGate().allows('t', 14.9, 0, 0, 20)
+
+
 def test_load_reports_fade_to_what_is_usual() -> None:
     observed = Observed(1, 0)
     observed.take_report(LoadReport(3, 6, 3), 0)
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -1,5 +1,7 @@
 """What this instance knows: configuration, targets and observations."""
 
+import math
+
 import anyio
 from tamarackway_core.quarantine import QuarantineRegister
 from tamarackway_core.steering import (
@@ -22,10 +24,17 @@
 
     :param region: region of this instance.
     :param bounds: bounds of the platform.
+    :param started_s: monotonic time at which the process started.
     """
 
-    def __init__(self, region: str, bounds: SteeringBounds) -> None:
+    def __init__(
+        self,
+        region: str,
+        bounds: SteeringBounds,
+        started_s: float = -math.inf,
+    ) -> None:
         """Start without a configuration."""
+        self._started_s = started_s
         self.bounds = bounds
         self.configuration: Configuration | None = None
         self.targets_loaded = False
@@ -108,6 +117,7 @@
                 self.bounds.repeat_window_s,
                 self.bounds.repeat_ratio,
                 self.bounds.repeat_extra,
+                self._started_s,
             )
             self._budgets[service] = budget
         return budget
