Add a randomized soak of the daemon on the platform

Real daemons on loopback, a stand-in store, targets behind relays, callers that keep their connections; faults by signals, relays, the store's fault gate and the targets, drawn from a seed, overlapping and repeated. The oracle holds what callers and targets saw against the promises.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 BIN := $(VENV)/bin
 PACKAGES := core entry ctl standins bench
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
+SEED ?= 1
+SEEDS ?= 10
 TOOLS := pytest pytest-bdd hypothesis import-linter mypy ruff flake8 wemake-python-styleguide
 
-.PHONY: install demo test lint unit fuzz bench bench-quick slopes format clean
+.PHONY: install demo test lint unit fuzz soak bench bench-quick slopes format clean
 
 install: $(VENV)/.installed
 
@@ -31,6 +33,9 @@
 fuzz: install
 	TAMARACKWAY_FUZZ=1 $(BIN)/pytest -k 'machine or fuzz'
 
+soak: install
+	$(BIN)/python -m tamarackway_platform.tests.soak --first-seed $(SEED) --seeds $(SEEDS)
+
 bench: install
 	$(BIN)/python -m tamarackway_bench figures
 
