--- a/packages/entry/src/tamarackway_entry/telemetry/_logs.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_logs.py
@@ -6,7 +6,7 @@
 from collections.abc import MutableMapping
 from typing import Any
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from tamarackway_entry.telemetry._output import BoundedOutput
 
@@ -38,7 +38,7 @@
     :param instance: name of the instance, repeated on each line.
     :returns: the handler, which counts the lines that it drops.
     """
-    formatter = JsonFormatter(
+    formatter = MsgspecFormatter(
         '{asctime}{levelname}{message}',
         style='{',
         static_fields={'instance': instance},
