--- a/packages/entry/src/tamarackway_entry/tests/test_plans.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_plans.py
@@ -1,6 +1,7 @@
 """Tests of the plan in force after pauses of the process."""
 
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
 from typing import Any, cast
 
 import anyio
@@ -122,38 +123,40 @@
     )
 
 
-async def test_a_timer_does_not_hide_a_pause_from_a_request() -> None:
+@asynccontextmanager
+async def run_bench() -> AsyncGenerator[Bench]:
+    """Run a plan service whose plan is confirmed."""
     bench = Bench()
     async with anyio.create_task_group() as group:
         group.start_soon(bench.service.run)
         await bench.wait_ready()
+        try:
+            yield bench
+        finally:
+            group.cancel_scope.cancel()
+
+
+async def test_a_timer_does_not_hide_a_pause_from_a_request() -> None:
+    async with run_bench() as bench:
         bench.peers.plan_version = 2
         bench.clock.at_s += PAUSE_S
         bench.pauses.count()
         await bench.service.wait_confirmed()
         assert bench.current.version == 2
-        group.cancel_scope.cancel()
 
 
 async def test_a_heartbeat_from_before_a_pause_confirms_nothing() -> None:
-    bench = Bench()
-    async with anyio.create_task_group() as group:
-        group.start_soon(bench.service.run)
-        await bench.wait_ready()
+    async with run_bench() as bench:
         bench.peers.plan_version = 2
         bench.clock.at_s += PAUSE_S
         bench.peers.beat(plan_version=1)
         assert not bench.service.is_ready
         await bench.service.wait_confirmed()
         assert bench.current.version == 2
-        group.cancel_scope.cancel()
 
 
 async def test_a_reply_asked_for_before_a_pause_confirms_nothing() -> None:
-    bench = Bench()
-    async with anyio.create_task_group() as group:
-        group.start_soon(bench.service.run)
-        await bench.wait_ready()
+    async with run_bench() as bench:
         bench.clock.at_s += PAUSE_S
         bench.peers.held = anyio.Event()
         asked = bench.peers.asked
@@ -166,4 +169,3 @@
         bench.peers.plan_version = 2
         await bench.service.wait_confirmed()
         assert bench.current.version == 2
-        group.cancel_scope.cancel()
