Log how replicated rows arrive and why an instance polls the store

Lines of the follow component told neither the version that an instance had reached, nor whether a row came by a relay, a poll or a load of the table, nor why it read the store itself. So a missed removal, a late relay and a removal put off after an outage looked alike. No change of behaviour.

--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -6,6 +6,7 @@
 arrive in time when the elected instance or its links fail.
 """
 
+import enum
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -35,6 +36,15 @@
 _log = component_logger('follow')
 
 
+class PollReason(enum.StrEnum):
+    """Why an instance polls the store itself."""
+
+    NOT_LOADED = 'not-loaded'
+    ELECTED = 'elected'
+    NOT_CONFIRMED = 'not-confirmed'
+    RELAY_MISSING = 'relay-missing'
+
+
 class RowSink(Protocol):
     """Receives the rows of replicated tables.
 
@@ -154,10 +164,8 @@
             return
         rows = [row for row in relay.rows if row.version > progress.position]
         if rows:
-            self._sink.apply_changes(
-                relay.table,
-                rows,
-                after_outage=relay.after_outage,
+            self._apply(
+                progress, rows, 'a relay', after_outage=relay.after_outage
             )
         progress.advance(relay.position, _last_version(relay.rows))
 
@@ -170,15 +178,26 @@
     def should_poll(self, table: str) -> bool:
         """Return whether this instance must poll the store itself.
 
+        :param table: name of the table.
+        """
+        return self.poll_reason(table) is not None
+
+    def poll_reason(self, table: str) -> PollReason | None:
+        """Return why this instance must poll the store, or None.
+
         :param table: name of the table.
         """
         progress = self._progress[table]
         now_s = self._clock.now_s()
-        if not progress.is_loaded or self.is_elected():
-            return True
+        if not progress.is_loaded:
+            return PollReason.NOT_LOADED
+        if self.is_elected():
+            return PollReason.ELECTED
         if now_s - progress.confirmed_s > _MAX_CONFIRMATION_AGE_S:
-            return True
-        return now_s - progress.behind_since_s > _RELAY_TIMEOUT_S
+            return PollReason.NOT_CONFIRMED
+        if now_s - progress.behind_since_s > _RELAY_TIMEOUT_S:
+            return PollReason.RELAY_MISSING
+        return None
 
     async def poll(self, table: str) -> None:
         """Read the changes of a table, or all rows if none are loaded.
@@ -198,9 +217,12 @@
     async def _replicate(self, progress: Progress) -> None:
         backoff = Backoff(_FIRST_RETRY_S, _MAX_RETRY_S, self._rng)
         while True:
-            if not self.should_poll(progress.table):
+            reason = self.poll_reason(progress.table)
+            if reason is None:
                 await anyio.sleep(_CHECK_INTERVAL_S)
                 continue
+            if reason != PollReason.ELECTED:
+                self._log_poll(progress, reason)
             try:
                 await self.poll(progress.table)
             except StoreUnavailableError:
@@ -224,6 +246,13 @@
                 result.rows,
                 after_outage=after_outage,
             )
+            _log.info(
+                'Loaded %d rows of table %s at version %d, after_outage=%s.',
+                len(result.rows),
+                table,
+                result.position,
+                after_outage,
+            )
         progress.advance(result.position, _last_version(result.rows))
         progress.record_poll(self._clock.now_s())
 
@@ -240,11 +269,7 @@
         ]
         if not changed:
             return
-        self._sink.apply_changes(
-            progress.table,
-            changed,
-            after_outage=after_outage,
-        )
+        self._apply(progress, changed, 'a poll', after_outage=after_outage)
         if self.is_elected():
             relay = RowsRelay(
                 progress.table,
@@ -255,6 +280,36 @@
             )
             self.relay(relay)
 
+    def _apply(
+        self,
+        progress: Progress,
+        rows: Sequence[StoredRow],
+        source: str,
+        *,
+        after_outage: bool,
+    ) -> None:
+        self._sink.apply_changes(
+            progress.table, rows, after_outage=after_outage
+        )
+        _log.info(
+            'Applied %d rows of table %s up to version %d from %s, '
+            'after_outage=%s.',
+            len(rows),
+            progress.table,
+            _last_version(rows),
+            source,
+            after_outage,
+        )
+
+    def _log_poll(self, progress: Progress, reason: PollReason) -> None:
+        _log.info(
+            'Polling table %s at version %d, %s, confirmed %.1f s ago.',
+            progress.table,
+            progress.position,
+            reason,
+            self._clock.now_s() - progress.confirmed_s,
+        )
+
     def _record_failure(self, table: str, error: Exception) -> None:
         if self.store_answers:
             _log.warning(
