Do not take a peer's progress for more than the peer knows

Requests reached a target that had left, on an instance that never learned of its removal although its heartbeats looked complete.

Cause: Progress.last_change is the version of the newest row that is present. An instance that loads the whole table, after a restart or once the store has dropped its history, does not see the removals before. It reported an older last change than the removal, a listener that had missed the relay took that as a confirmation that it had missed nothing, and the next relay, said to follow on that older version, moved the listener past the removal for good.

A loaded table is now known to be complete only after the version at which it was loaded (known_from). Older daemons ignore the field, and a heartbeat without it is taken as before.

Evidence: test_missed_removal_is_found_although_elected_instance_loaded_after_it fails without the check in four of eight cases (restart and compacted history): the listener keeps the target for the whole eight seconds. The other new test bounds the price: one poll of each listener after a load.

--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -1,7 +1,7 @@
 """Messages by which entry instances share rows read from the store."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tamarackway_core.quarantine import Loss
 
@@ -43,6 +43,8 @@
     :param store_answers: whether the store responds to the sender.
     :param rates: requests of callers per second by service.
     :param losses: targets that were lost recently while running a request.
+    :param known_from: version after which the sender knows all changes by
+        table, removals included.
     """
 
     name: str
@@ -52,6 +54,7 @@
     store_answers: bool
     rates: Mapping[str, float]
     losses: tuple[Loss, ...] = ()
+    known_from: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +78,8 @@
     """Relays changed rows of a followed table to a peer.
 
     :param table: name of the table.
-    :param after: version of the last change before these rows; a receiver at
-        this version has missed no change.
+    :param after: version before these rows; a receiver at this version has
+        missed no change.
     :param position: version up to which the changes are complete.
     :param rows: changed rows in order of their versions.
     :param after_outage: whether the store was unavailable before.
--- a/packages/entry/src/tamarackway_entry/following/_progress.py
+++ b/packages/entry/src/tamarackway_entry/following/_progress.py
@@ -8,7 +8,9 @@
 
     ``position`` is the version of the store up to which all changes are known.
     It also grows with writes to other tables, while ``last_change`` is the
-    version of the last change of this table. ``polled_s`` is the time of the
+    version of the last change of this table. Loaded rows do not show earlier
+    removals, so the table's changes are complete only after ``known_from``, the
+    version at which it was loaded. ``polled_s`` is the time of the
     last read from the store, ``confirmed_s`` the latest time at which such a
     read, here or by a peer, showed the table to be complete. Changes known to
     a peer have been missing here since ``behind_since_s``: infinity if none
@@ -22,6 +24,7 @@
         self.table = table
         self.position = 0
         self.last_change = 0
+        self.known_from = 0
         self.is_loaded = False
         self.polled_s = -math.inf
         self.confirmed_s = -math.inf
@@ -37,6 +40,15 @@
         self.last_change = max(self.last_change, last_change)
         self.is_loaded = True
 
+    def load(self, position: int, last_change: int) -> None:
+        """Record that all rows were read, whatever was known before.
+
+        :param position: version of the store.
+        :param last_change: version of the last changed row, 0 for none.
+        """
+        self.advance(position, last_change)
+        self.known_from = position
+
     def record_poll(self, now_s: float) -> None:
         """Record that the table was read from the store itself.
 
@@ -49,12 +61,14 @@
     def update_from_peer(
         self,
         last_change: int,
+        known_from: int,
         polled_s: float,
         now_s: float,
     ) -> None:
         """Update from the progress that a peer reports.
 
         :param last_change: version of the last change known to the peer.
+        :param known_from: version after which the peer knows all changes.
         :param polled_s: time of the peer's last read of the store, by the
             monotonic clock of this instance.
         :param now_s: monotonic time in seconds.
@@ -62,10 +76,11 @@
         A peer that is ahead relays its changes if it is elected; if they do
         not arrive in time, they must be read from the store. Only reads of the
         store count as confirmation; otherwise two peers could confirm each
-        other forever.
+        other forever. A peer that loaded the table after this position may not
+        know of removals in between, so it confirms nothing.
         """
-        if last_change <= self.position:
+        if last_change > self.position:
+            self.behind_since_s = min(self.behind_since_s, now_s)
+        elif known_from <= self.position:
             self.confirmed_s = max(self.confirmed_s, polled_s)
             self.behind_since_s = math.inf
-        else:
-            self.behind_since_s = min(self.behind_since_s, now_s)
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -121,6 +121,17 @@
             if progress.is_loaded
         }
 
+    def known_from(self) -> dict[str, int]:
+        """Return the version after which all changes of each table are known.
+
+        Omits tables that are not loaded.
+        """
+        return {
+            table: progress.known_from
+            for table, progress in self._progress.items()
+            if progress.is_loaded
+        }
+
     def ages_s(self) -> dict[str, float]:
         """Return the time since each table was read from the store.
 
@@ -137,18 +148,22 @@
         self,
         table: str,
         last_change: int,
+        known_from: int,
         age_s: float,
     ) -> None:
         """Update from the progress that a peer reports for a table.
 
         :param table: name of the table.
         :param last_change: version of the last change known to the peer.
+        :param known_from: version after which the peer knows all changes.
         :param age_s: time since the peer read the table from the store.
         """
         progress = self._progress.get(table)
         if progress is not None and progress.is_loaded:
             now_s = self._clock.now_s()
-            progress.update_from_peer(last_change, now_s - age_s, now_s)
+            progress.update_from_peer(
+                last_change, known_from, now_s - age_s, now_s
+            )
 
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changes that a peer relays.
@@ -222,7 +237,7 @@
                 await anyio.sleep(_CHECK_INTERVAL_S)
                 continue
             if reason != PollReason.ELECTED:
-                self._log_poll(progress, reason)
+                _log_poll(progress, reason, self._clock.now_s())
             try:
                 await self.poll(progress.table)
             except StoreUnavailableError:
@@ -238,6 +253,7 @@
             result = await self._store.read_changes(table, after, wait_s)
             after_outage = self._record_success(table)
             self._apply_changes(progress, result, after_outage=after_outage)
+            progress.advance(result.position, _last_version(result.rows))
         else:
             result = await self._store.read_table(table)
             after_outage = self._record_success(table)
@@ -253,7 +269,7 @@
                 result.position,
                 after_outage,
             )
-        progress.advance(result.position, _last_version(result.rows))
+            progress.load(result.position, _last_version(result.rows))
         progress.record_poll(self._clock.now_s())
 
     def _apply_changes(
@@ -273,7 +289,7 @@
         if self.is_elected():
             relay = RowsRelay(
                 progress.table,
-                progress.last_change,
+                max(progress.last_change, progress.known_from),
                 result.position,
                 tuple(changed),
                 after_outage,
@@ -301,15 +317,6 @@
             after_outage,
         )
 
-    def _log_poll(self, progress: Progress, reason: PollReason) -> None:
-        _log.info(
-            'Polling table %s at version %d, %s, confirmed %.1f s ago.',
-            progress.table,
-            progress.position,
-            reason,
-            self._clock.now_s() - progress.confirmed_s,
-        )
-
     def _record_failure(self, table: str, error: Exception) -> None:
         if self.store_answers:
             _log.warning(
@@ -334,5 +341,15 @@
         return now_s - self._outage_ended_s < 2 * _CHECK_INTERVAL_S
 
 
+def _log_poll(progress: Progress, reason: PollReason, now_s: float) -> None:
+    _log.info(
+        'Polling table %s at version %d, %s, confirmed %.1f s ago.',
+        progress.table,
+        progress.position,
+        reason,
+        now_s - progress.confirmed_s,
+    )
+
+
 def _last_version(rows: Sequence[StoredRow]) -> int:
     return max((row.version for row in rows), default=0)
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -57,6 +57,7 @@
             store_answers=self._follow.store_answers,
             rates=self._state.demand.local_rates(now_s),
             losses=self._state.quarantine.list_recent(now_s),
+            known_from=self._follow.known_from(),
         )
 
     def handle_heartbeat(
@@ -68,7 +69,10 @@
         for table, last_change in heartbeat.positions.items():
             age_s = heartbeat.ages_s.get(table)
             if age_s is not None:
-                self._follow.update_from_peer(table, last_change, age_s)
+                known_from = heartbeat.known_from.get(table, 0)
+                self._follow.update_from_peer(
+                    table, last_change, known_from, age_s
+                )
         self._state.demand.update_peer(
             member.name,
             member.region,
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -119,6 +119,12 @@
     def poll(self) -> None:
         anyio.run(self.service.poll, 't')
 
+    def confirm(self, peer: FollowService) -> None:
+        """Report the progress of this instance to a peer, as heartbeats do."""
+        known_from = self.service.known_from()
+        for table, last_change in self.service.last_changes().items():
+            peer.update_from_peer(table, last_change, known_from[table], 0)
+
 
 def test_two_followers_do_not_confirm_each_other() -> None:
     """Otherwise neither would poll after both lost the elected instance."""
@@ -127,11 +133,11 @@
     for progress in (first, second):
         progress.advance(5, 5)
     first.record_poll(100)
-    second.update_from_peer(5, first.polled_s, 100.4)
+    second.update_from_peer(5, 0, first.polled_s, 100.4)
     for step in range(100):
         moment_s = 100.4 + step / 10
-        first.update_from_peer(5, second.polled_s, moment_s)
-        second.update_from_peer(5, first.polled_s, moment_s)
+        first.update_from_peer(5, 0, second.polled_s, moment_s)
+        second.update_from_peer(5, 0, first.polled_s, moment_s)
     assert first.confirmed_s == pytest.approx(100)
     assert second.confirmed_s == pytest.approx(100)
 
@@ -196,6 +202,66 @@
     assert follower.sink.keys == {'new'}
 
 
+# Guards against requests to a removed target on an instance that missed the
+# removal, confirmed by a peer that loaded the table afterwards.
+@pytest.mark.parametrize('elected_reloads', ['restart', 'compacted history'])
+@pytest.mark.parametrize('missed', [('left',), ('left', 'right')])
+@pytest.mark.parametrize('later_change', [False, True])
+def test_missed_removal_is_found_although_elected_instance_loaded_after_it(
+    elected_reloads: str,
+    missed: tuple[str, ...],
+    *,
+    later_change: bool,
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    for key in ('left', 'right', 'stays'):
+        store.put(key)
+    elected, listener = Replica(store, clock), Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    elected.poll()
+    listener.poll()
+    for key in missed:
+        store.put(key, removed=True)
+    if elected_reloads == 'restart':
+        elected = Replica(store, clock)
+    else:
+        store.compacted = True
+        elected.poll()
+    elected.poll()
+    for step in range(20):
+        clock.moment_s += 0.4
+        if later_change and step == 1:
+            store.put('stays')
+        elected.poll()
+        for relay in elected.relays:
+            listener.service.apply_relay(relay)
+        elected.relays.clear()
+        elected.confirm(listener.service)
+        if listener.service.should_poll('t'):
+            listener.poll()
+    assert listener.sink.keys == elected.sink.keys
+
+
+def test_listener_polls_once_after_the_elected_instance_restarted() -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('row')
+    listener = Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    listener.poll()
+    store.version += 7  # writes to other tables
+    restarted = Replica(store, clock)
+    restarted.poll()
+    calls = 0
+    for _ in range(50):
+        clock.moment_s += 0.4
+        restarted.poll()
+        restarted.confirm(listener.service)
+        if listener.service.should_poll('t'):
+            listener.poll()
+            calls += 1
+    assert calls == 1
+
+
 @pytest.mark.parametrize(
     ('outage_s', 'after_outage'),
     [(0.1, False), (2.0, True)],
