Hold back removals only after an outage that peers saw too

Cause: registrations expire while the store is down, so removals read after an outage are held back for 2.5 s. Any failed read counted as an outage. Two ways lead there with a store that was never down: an instance that alone had lost the store relayed its removals as after_outage, and all receivers held them back; and a listener whose poll had failed once kept the failure, since it does not poll while others confirm its tables, so its next poll, perhaps a minute later when the elected instance restarted, counted as the end of an outage.

OutageDetector ends an outage also when a peer has read from the store, and a receiver holds a relayed removal back only if it was affected itself.

Evidence: of the new cases three fail before (the two listeners whose peer had read the store meanwhile, and the relay to an unaffected listener); the cases with a real outage hold before and after.

--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -16,6 +16,7 @@
 from tamarackway_core.recovery import Backoff
 from tamarackway_core.wire import RowsRelay, StoredRow
 
+from tamarackway_entry.following._outage import OutageDetector
 from tamarackway_entry.following._progress import Progress
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.store import (
@@ -32,7 +33,6 @@
 _CHECK_INTERVAL_S: Final = 0.1
 _FIRST_RETRY_S: Final = 0.1
 _MAX_RETRY_S: Final = 0.6  # expired targets must be back within 2 s
-_MIN_OUTAGE_S: Final = 0.3  # failures that end sooner are not outages
 _log = component_logger('follow')
 
 
@@ -100,13 +100,12 @@
         self._sink = sink
         self._clock = clock
         self._rng = rng
-        self._failed_since_s = math.inf
-        self._outage_ended_s = -math.inf
+        self._outage = OutageDetector()
 
     @property
     def store_answers(self) -> bool:
-        """Whether the last read succeeded; true before the first one."""
-        return math.isinf(self._failed_since_s)
+        """Whether the last own read succeeded; true before the first one."""
+        return self._outage.store_answers
 
     @property
     def is_loaded(self) -> bool:
@@ -161,9 +160,9 @@
         progress = self._progress.get(table)
         if progress is not None and progress.is_loaded:
             now_s = self._clock.now_s()
-            progress.update_from_peer(
-                last_change, known_from, now_s - age_s, now_s
-            )
+            read_s = now_s - age_s
+            progress.update_from_peer(last_change, known_from, read_s, now_s)
+            self._outage.record_peer_read(read_s, now_s)
 
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changes that a peer relays.
@@ -179,9 +178,10 @@
             return
         rows = [row for row in relay.rows if row.version > progress.position]
         if rows:
-            self._apply(
-                progress, rows, 'a relay', after_outage=relay.after_outage
-            )
+            # The sender may have lost only its own path to the store.
+            is_affected = self._outage.is_affected(self._clock.now_s())
+            after_outage = relay.after_outage and is_affected
+            self._apply(progress, rows, 'a relay', after_outage=after_outage)
         progress.advance(relay.position, _last_version(relay.rows))
 
     async def run(self) -> None:
@@ -324,7 +324,7 @@
                 table,
                 error,
             )
-            self._failed_since_s = self._clock.now_s()
+        self._outage.record_failure(self._clock.now_s())
 
     def _record_success(self, table: str) -> bool:
         """Return whether an outage of the store has just ended.
@@ -333,12 +333,9 @@
         """
         now_s = self._clock.now_s()
         if not self.store_answers:
-            outage_s = now_s - self._failed_since_s
             _log.info('The store answers again, starting with %s.', table)
-            self._failed_since_s = math.inf
-            if outage_s > _MIN_OUTAGE_S:
-                self._outage_ended_s = now_s
-        return now_s - self._outage_ended_s < 2 * _CHECK_INTERVAL_S
+        self._outage.record_success(now_s)
+        return self._outage.has_recovered(now_s)
 
 
 def _log_poll(progress: Progress, reason: PollReason, now_s: float) -> None:
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -282,3 +282,66 @@
     store.put('x')
     follower.poll()
     assert follower.sink.outages[-1] is after_outage
+
+
+def lose_store(listener: Replica, store: FakeStore) -> None:
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        listener.poll()
+    store.down = False
+
+
+# Guards against requests to a removed target on an instance that had lost the
+# store on its own, and so held the removal for one that an outage caused.
+@pytest.mark.parametrize(
+    ('lost_s', 'peer_reads', 'after_outage'),
+    [
+        (2.0, False, True),
+        (2.0, True, False),
+        (40.0, True, False),
+    ],
+)
+def test_loss_of_only_the_own_path_to_the_store_is_no_outage(
+    lost_s: float,
+    *,
+    peer_reads: bool,
+    after_outage: bool,
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('left')
+    elected, listener = Replica(store, clock), Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    listener.poll()
+    lose_store(listener, store)
+    clock.moment_s += lost_s
+    if peer_reads:
+        elected.poll()
+        elected.confirm(listener.service)
+        clock.moment_s += 1.4  # until the listener polls for itself
+    store.put('left', removed=True)
+    listener.poll()
+    assert listener.sink.outages[-1] is after_outage
+
+
+# Guards against requests to a removed target on all instances, because the
+# elected one had lost the store on its own and relays the removal.
+@pytest.mark.parametrize('listener_lost_store', [False, True])
+def test_relay_after_an_outage_is_checked_by_its_receiver(
+    *,
+    listener_lost_store: bool,
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('left')
+    elected, listener = Replica(store, clock), Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    elected.poll()
+    listener.poll()
+    lose_store(elected, store)
+    if listener_lost_store:
+        lose_store(listener, store)
+    clock.moment_s += 2
+    store.put('left', removed=True)
+    elected.poll()
+    assert elected.relays[-1].after_outage
+    listener.service.apply_relay(elected.relays[-1])
+    assert listener.sink.outages[-1] is listener_lost_store
