Look at the target again before a request is sent on a new connection

Requests could reach a target after the instance knew that it was leaving.

Cause: a target is chosen, then a connection is opened, which may take two estimated round trips and 0.1 s, and the request was written without another look. On a slow instance the estimate, and so the wait, grows to seconds.

The sender now asks the catalogue once the connection is open. An attempt at a target that leaves, was removed or stands in an evacuated failure domain ends as withdrawn: nothing was sent, the target is not ejected, and the request goes to another target without counting as a retry.

Evidence: test_request_is_withdrawn_if_target_leaves_during_connect fails before in all three cases, since the request is sent and answered.

--- a/packages/core/src/tamarackway_core/steering/_catalogue.py
+++ b/packages/core/src/tamarackway_core/steering/_catalogue.py
@@ -39,6 +39,14 @@
         """Return the target with a name, or None."""
         return self._records.get(name)
 
+    def is_usable(self, name: str) -> bool:
+        """Return whether a target accepts new requests.
+
+        :param name: name of the target.
+        """
+        record = self._records.get(name)
+        return record is not None and self._accepts_requests(record)
+
     def put(self, record: TargetRecord, now_s: float) -> None:
         """Add or update a target; an older record is ignored.
 
@@ -143,13 +151,14 @@
                 [
                     record
                     for record in self._records.values()
-                    if record.service == service and self._is_usable(record)
+                    if record.service == service
+                    and self._accepts_requests(record)
                 ],
             )
             self._usable[service] = ranking
         return ranking
 
-    def _is_usable(self, record: TargetRecord) -> bool:
+    def _accepts_requests(self, record: TargetRecord) -> bool:
         evacuated = record.place.failure_domain in self._evacuated
         return not record.leaving and not evacuated
 
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -229,7 +229,7 @@
         started_s = self._clock.now_s()
         attempt = await self._send(context, candidate, remaining_s)
         elapsed_s = self._clock.now_s() - started_s
-        if attempt.outcome != AttemptOutcome.NOT_SENT:
+        if attempt.was_sent:
             context.sent_attempts += 1
         context.may_have_run |= attempt.may_have_run
         context.trail.append(_describe_attempt(candidate, attempt, elapsed_s))
@@ -287,7 +287,7 @@
             AttemptOutcome.ABANDONED,
         }:
             return self._give_up(context, attempt.error)
-        if attempt.outcome == AttemptOutcome.NOT_SENT:
+        if not attempt.was_sent:
             # Not a retry: no target has received this attempt.
             return None
         if self._may_retry(context):
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -44,12 +44,14 @@
     """How an attempt to send a request to a target ended.
 
     A refused request was sent, but the target did not run it. A lost one was
-    sent without a valid response, so that the target may have run it.
+    sent without a valid response, so that the target may have run it. A
+    withdrawn one was not sent, since the target began to leave meanwhile.
     """
 
     ANSWERED = 'answered'
     REFUSED = 'refused'
     NOT_SENT = 'not-sent'
+    WITHDRAWN = 'withdrawn'
     LOST = 'lost'
     TIMED_OUT = 'timed-out'
     ABANDONED = 'abandoned'
@@ -71,13 +73,18 @@
     error: str = ''
 
     @property
-    def may_have_run(self) -> bool:
-        """Whether the target may have run the request."""
+    def was_sent(self) -> bool:
+        """Whether any byte of the request was sent."""
         return self.outcome not in {
-            AttemptOutcome.REFUSED,
             AttemptOutcome.NOT_SENT,
+            AttemptOutcome.WITHDRAWN,
         }
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have run the request."""
+        return self.was_sent and self.outcome != AttemptOutcome.REFUSED
+
     @property
     def failed(self) -> bool:
         """Whether the target returned a server error."""
@@ -217,6 +224,11 @@
         connection = pool.acquire(max_idle_s, self._clock.now_s())
         if connection is None:
             connection = await self._connect(candidate)
+            if not self._state.catalogue.is_usable(name):
+                connection.close()
+                return AttemptResult(
+                    AttemptOutcome.WITHDRAWN, error='the target is leaving'
+                )
         try:
             response = await connection.exchange(
                 self._codec.encode_request(
@@ -291,6 +303,8 @@
             and stats.failures >= _DOWN_AFTER_FAILURES
         ):
             self._mark_cold(candidate, now_s)
+        if attempt.outcome == AttemptOutcome.WITHDRAWN:
+            return
         if attempt.outcome == AttemptOutcome.REFUSED:
             stats.record_shed()
             if attempt.metadata is not None and attempt.metadata.wrong_target:
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -31,6 +31,7 @@
 FAILED = AttemptResult(AttemptOutcome.ANSWERED, Response(500, (), b'no'))
 REFUSED = AttemptResult(AttemptOutcome.REFUSED, Response(503, (), b''))
 NOT_SENT = AttemptResult(AttemptOutcome.NOT_SENT)
+WITHDRAWN = AttemptResult(AttemptOutcome.WITHDRAWN)
 LOST = AttemptResult(AttemptOutcome.LOST)
 TIMED_OUT = AttemptResult(AttemptOutcome.TIMED_OUT)
 BOUNDS = SteeringBounds(retry_extra=1000)
@@ -141,6 +142,7 @@
         ([OK], False, 200, Origin.TARGET, 1),
         ([REFUSED, OK], False, 200, Origin.TARGET, 2),
         ([NOT_SENT, OK], False, 200, Origin.TARGET, 2),
+        ([WITHDRAWN, OK], False, 200, Origin.TARGET, 2),
         ([LOST, OK], True, 200, Origin.TARGET, 2),
         ([FAILED, OK], True, 200, Origin.TARGET, 2),
         ([LOST], False, 502, Origin.FAILURE, 1),
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -1,5 +1,6 @@
 """Tests of target statistics and attempt results, without a network."""
 
+import dataclasses
 from collections.abc import Callable
 
 import anyio
@@ -98,6 +99,7 @@
         self.state.catalogue.put(RECORD, self.clock.now_s())
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
+        self.on_connect: Callable[[], None] = lambda: None
         self.metadata = ResponseMetadata(
             not_run=False, wrong_target=False, signed=True
         )
@@ -111,6 +113,7 @@
     async def connect(self, address: Address) -> FakeConnection:
         if not self.is_reachable:
             raise NotSentError('refused')
+        self.on_connect()
         return FakeConnection(self.outcome)
 
     def build_candidate(self) -> Candidate:
@@ -187,6 +190,32 @@
     )
 
 
+# Guards against requests to a target that began to leave after it was chosen,
+# while the connection to it was opened.
+@pytest.mark.parametrize('change', ['leaving', 'removed', 'evacuated'])
+def test_request_is_withdrawn_if_target_leaves_during_connect(
+    environment: Environment, change: str
+) -> None:
+    now_s = environment.clock.now_s()
+    catalogue = environment.state.catalogue
+
+    def leave() -> None:
+        if change == 'leaving':
+            leaving = dataclasses.replace(RECORD, leaving=True, sequence=1)
+            catalogue.put(leaving, now_s)
+        elif change == 'removed':
+            catalogue.remove('t')
+        else:
+            catalogue.evacuate(['east-a'], now_s, 0)
+
+    environment.on_connect = leave
+    attempt = environment.send()
+    assert attempt.outcome == AttemptOutcome.WITHDRAWN
+    assert not attempt.was_sent
+    assert not attempt.may_have_run
+    assert not environment.build_candidate().stats.is_ejected(now_s)
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
