Decode and log the rate limits that targets set

Responses may carry the requests per second that a target accepts from all instances together. Nothing read it, so logs could not tell whether an instance knew of a limit or ignored it. No request is routed differently yet.

--- a/packages/core/src/tamarackway_core/limits/__init__.py
+++ b/packages/core/src/tamarackway_core/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Caps: rate limits that all entry instances share by means of leases."""
+"""Rate limits that all entry instances share: caps, and limits of targets."""
 
 from tamarackway_core.limits._bucket import TokenBucket as TokenBucket
 from tamarackway_core.limits._leased_share import LeasedShare as LeasedShare
@@ -8,3 +8,9 @@
 from tamarackway_core.limits._leases import LeaseTable as LeaseTable
 from tamarackway_core.limits._leases import floor_share as floor_share
 from tamarackway_core.limits._leases import grant as grant
+from tamarackway_core.limits._target_rate import (
+    TargetRateLimit as TargetRateLimit,
+)
+from tamarackway_core.limits._target_rate import (
+    TargetRateLimiter as TargetRateLimiter,
+)
--- a/packages/entry/src/tamarackway_entry/forwarding/_codec.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_codec.py
@@ -19,6 +19,9 @@
         produced it.
     :param load: load of the target, if reported.
     :param max_idle_s: idle timeout of the target's connections, if reported.
+    :param total_per_s: requests per second that the target accepts from all
+        instances together; infinity if it sets no limit, None if the response
+        does not tell.
     """
 
     not_run: bool
@@ -26,6 +29,7 @@
     signed: bool
     load: LoadReport | None = None
     max_idle_s: float | None = None
+    total_per_s: float | None = None
 
 
 class TargetCodec(Protocol):
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -7,7 +7,7 @@
 
 import anyio
 from tamarackway_core.quarantine import Loss
-from tamarackway_core.steering import Candidate
+from tamarackway_core.steering import Candidate, TargetRecord
 
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
 from tamarackway_entry.forwarding._model import ForwardRequest
@@ -264,6 +264,8 @@
             self._max_idle_s[candidate.record.name] = max_idle_s
         if metadata.load is not None:
             candidate.stats.record_load(metadata.load, self._clock.now_s())
+        if not metadata.wrong_target:
+            self._observe_rate_limit(candidate.record, metadata)
         if metadata.not_run or metadata.wrong_target:
             return AttemptResult(
                 AttemptOutcome.REFUSED, response, metadata, 'not run'
@@ -276,6 +278,21 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
+    def _observe_rate_limit(
+        self, record: TargetRecord, metadata: ResponseMetadata
+    ) -> None:
+        total_per_s = metadata.total_per_s
+        if total_per_s is not None and self._state.rate_limiter.observe(
+            record.name, record.incarnation, total_per_s
+        ):
+            _log.info(
+                'Target %s of service %s accepts %.3g requests per second '
+                'from all instances.',
+                record.name,
+                record.service,
+                total_per_s,
+            )
+
     async def _connect(self, candidate: Candidate) -> Connection:
         record = candidate.record
         started_s = self._clock.now_s()
