Keep requests of all instances within the rate limits that targets set

A target got up to seven times what it said that it takes: 46 requests in 4 s at 1 a second where 11 were allowed, 70 at 8.2 a second where 54 were.

Cause: nothing used the limit, and no part of the product could divide a number below one request a second and instance: even division leaves most instances nothing, and a floor for each adds up to more than the limit.

TargetRateLimiter divides a limit among its holders, the first instances in the target's rendezvous order, as many as get half a request a second or more. Each spends its share from the token bucket of the caps, now with a window that fits slow rates, and starts at another phase. All instances that may be running count, so a partition makes no second holder. Responses and heartbeats carry the limits; the newest reading wins. Where no holder has used a target for a while, the others probe it in turn, since its limit may have ended unnoticed. Every send takes a token, retries too. The selector passes over targets without a token; a key then goes to the same next target. With none left, the request is refused at once, and callers return spread over the tokens to come.

--- a/packages/core/src/tamarackway_core/membership/_rendezvous.py
+++ b/packages/core/src/tamarackway_core/membership/_rendezvous.py
@@ -20,5 +20,18 @@
     return max(names, key=lambda name: _weight(name, task), default=None)
 
 
+def rank_instances(names: Iterable[str], task: str) -> list[str]:
+    """Return the instances in the order in which a task is assigned to them.
+
+    :param names: names of the candidates.
+    :param task: name of the task.
+
+    >>> names = ['a', 'b', 'c']
+    >>> rank_instances(names, 'sweep')[0] == elect(names, 'sweep')
+    True
+    """
+    return sorted(names, key=lambda name: _weight(name, task), reverse=True)
+
+
 def _weight(name: str, task: str) -> bytes:
     return hashlib.sha256(f'{task}/{name}'.encode()).digest()
--- a/packages/core/src/tamarackway_core/steering/_selector.py
+++ b/packages/core/src/tamarackway_core/steering/_selector.py
@@ -1,11 +1,13 @@
 """Selection of the target with the lowest expected response time."""
 
 import itertools
+import math
 import operator
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
+from tamarackway_core.limits import ReturnSchedule, TargetRateLimiter
 from tamarackway_core.steering._catalogue import Catalogue
 from tamarackway_core.steering._cold_start import ColdStartLimiter
 from tamarackway_core.steering._demand import DemandTracker
@@ -116,6 +118,8 @@
     ) -> None:
         """Start with a round trip to the own region only."""
         self.cold_start_limiter = ColdStartLimiter()
+        self.rate_limiter = TargetRateLimiter()
+        self._returns = ReturnSchedule()
         self.instances = 1
         self.position = 0
         self.max_shift_per_s: float = 1
@@ -160,11 +164,41 @@
         :param now_s: monotonic time in seconds.
         """
         evaluated = self._evaluate_all(query, policy, tried, now_s)
-        candidates = itertools.islice(
-            evaluated,
-            _MAX_CANDIDATES if query.affinity_key else None,
+        depth = (
+            _MAX_CANDIDATES
+            if query.affinity_key
+            else len(self._catalogue.list_usable(query.service).targets)
+        )
+        return min(
+            _take_candidates(evaluated, depth),
+            key=operator.attrgetter('cost_s'),
+            default=None,
+        )
+
+    def return_delay_s(self, query: TargetQuery, now_s: float) -> float | None:
+        """Return after how many seconds a refused caller should return.
+
+        Returns None if no target is at its rate limit.
+
+        :param query: requirements of the refused request.
+        :param now_s: monotonic time in seconds.
+        """
+        limiter = self.rate_limiter
+        limited = [
+            (record.name, record.incarnation)
+            for record in self._catalogue.list_usable(query.service).targets
+            if _is_allowed_region(record, query)
+            and math.isfinite(
+                limiter.total_per_s(record.name, record.incarnation)
+            )
+        ]
+        if not limited:
+            return None
+        wait_s = min(limiter.wait_s(*target, now_s) for target in limited)
+        rate_per_s = sum(itertools.starmap(limiter.share_per_s, limited))
+        return self._returns.next_delay_s(
+            query.service, wait_s, rate_per_s, now_s
         )
-        return min(candidates, key=operator.attrgetter('cost_s'), default=None)
 
     def record_send(self, chosen: Candidate, key: str, now_s: float) -> None:
         """Record that a request is sent to a target.
@@ -175,8 +209,10 @@
         """
         if key:
             chosen.stats.record_key(key, now_s)
+        record = chosen.record
         if chosen.cold:
-            self.cold_start_limiter.record(chosen.record.name, now_s)
+            self.cold_start_limiter.record(record.name, now_s)
+        self.rate_limiter.record(record.name, record.incarnation, now_s)
 
     def _evaluate_all(
         self,
@@ -184,8 +220,11 @@
         policy: ServicePolicy,
         tried: Collection[str],
         now_s: float,
-    ) -> Iterator[Candidate]:
-        """Yield the usable targets in the preference order of the key."""
+    ) -> Iterator[Candidate | None]:
+        """Yield the usable targets in the preference order of the key.
+
+        Yields None for targets at their rate limit.
+        """
         ranking = self._catalogue.list_usable(query.service)
         preferred = self._preferred_region(query, ranking.targets, now_s)
         for rank, record in enumerate(
@@ -193,6 +232,11 @@
         ):
             if record.name in tried or not _is_allowed_region(record, query):
                 continue
+            if not self.rate_limiter.allows(
+                record.name, record.incarnation, now_s
+            ):
+                yield None
+                continue
             candidate = self._evaluate(
                 record, query, policy, rank, preferred, now_s
             )
@@ -301,15 +345,44 @@
         now_s: float,
     ) -> Mapping[str, float]:
         slots: dict[str, float] = {}
+        run_s = self._run_times.cached_s(query.service)
         for record in targets:
             if _is_allowed_region(record, query):
                 region = record.place.region
-                slots[region] = slots.get(region, 0) + record.slots
-        run_s = self._run_times.cached_s(query.service)
+                usable = self._usable_slots(record, run_s)
+                slots[region] = slots.get(region, 0) + usable
         rates = self._demand.by_region(query.service, now_s)
         busy = {region: rate * run_s for region, rate in rates.items()}
         return split_demand(self._region, slots, busy)
 
+    def _usable_slots(self, record: TargetRecord, run_s: float) -> float:
+        """Return the slots that a target can use within its rate limit."""
+        limit_per_s = self.rate_limiter.total_per_s(
+            record.name, record.incarnation
+        )
+        return min(record.slots, limit_per_s * run_s)
+
+
+def _take_candidates(
+    evaluated: Iterator[Candidate | None], depth: int
+) -> list[Candidate]:
+    """Return the candidates among the first targets, or the next one.
+
+    Targets at their rate limit count towards the depth. A key then moves from
+    them to the same other target each time, which can cache it.
+
+    :param evaluated: targets in the preference order of a key; None for those
+        at their rate limit.
+    :param depth: number of targets to consider.
+    """
+    candidates: list[Candidate] = []
+    for position, candidate in enumerate(evaluated, 1):
+        if candidate is not None:
+            candidates.append(candidate)
+        if candidates and position >= depth:
+            break
+    return candidates
+
 
 def _is_allowed_region(record: TargetRecord, query: TargetQuery) -> bool:
     allowed = query.home_regions
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -1,5 +1,7 @@
 """Tests of the routing of single requests."""
 
+import itertools
+
 import pytest
 
 from tamarackway_core.places import Address, Place
@@ -327,3 +329,48 @@
     assert stats.is_ejected(ejection_s)
     stats.record_success(1, ejection_s)
     assert not stats.is_ejected(ejection_s)
+
+
+def limit_target(selector: TargetSelector, name: str, per_s: float) -> None:
+    selector.rate_limiter.divide_among('i1', ['i1'])
+    selector.rate_limiter.observe(name, 1, per_s, 100)
+
+
+# Guards against targets that get more requests than the rate limit they set,
+# although other targets could take them.
+@pytest.mark.parametrize('affinity_key', ['', 'k'])
+def test_requests_beyond_a_rate_limit_go_to_other_targets(
+    affinity_key: str,
+) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in 'abc':
+        limit_target(selector, name, 1.0)
+    query = TargetQuery('s', affinity_key)
+    sent = dict.fromkeys('abcd', 0)
+    for step in range(600):
+        now_s = 100 + step / 30
+        chosen = selector.select(query, POLICY, (), now_s)
+        assert chosen is not None
+        selector.record_send(chosen, affinity_key, now_s)
+        sent[chosen.record.name] += 1
+    assert all(sent[name] <= 21 for name in 'abc')
+    assert sent['d'] >= 540
+
+
+@pytest.mark.parametrize('limited', ['', 'abc', 'abcd'])
+def test_return_of_refused_callers_follows_rate_limits(limited: str) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in limited:
+        limit_target(selector, name, 2.0)
+    chosen = selector.select(TargetQuery('s', 'k'), POLICY, (), 100)
+    assert (chosen is None) is (len(limited) == 4)
+    delays_s = [
+        selector.return_delay_s(TargetQuery('s', 'k'), 100) for _ in range(3)
+    ]
+    # Three or four targets take two requests per second each.
+    step_s = 1 / (2 * len(limited)) if limited else 0
+    for first, second in itertools.pairwise(delays_s):
+        if first is None or second is None:
+            assert not limited
+        else:
+            assert second - first == pytest.approx(step_s)
--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -1,9 +1,12 @@
 """Tests of the codec for messages between entry instances."""
 
+import math
+
 import cbor2
 import pytest
 
 from tamarackway_core.errors import Reason, Refusal, WireError
+from tamarackway_core.limits import TargetRateLimit
 from tamarackway_core.membership import Member
 from tamarackway_core.once import Outcome, Response, RunResult
 from tamarackway_core.places import Instance, Place, State
@@ -12,6 +15,7 @@
 from tamarackway_core.wire import (
     Envelope,
     ExplainReply,
+    FleetBeat,
     Heartbeat,
     JoinReply,
     LossReport,
@@ -40,6 +44,19 @@
         ),
         LossReport(Loss('f', 't1', 2)),
         ExplainReply(('one', 'two')),
+        FleetBeat(
+            'e1',
+            None,
+            {'t': 7},
+            {'t': 0.5},
+            store_answers=True,
+            rates={'s': 2.5},
+            known_from={'t': 3},
+            rate_limits=(
+                TargetRateLimit('t1', 2, 8.25, 0.5),
+                TargetRateLimit('t2', 2, math.inf, 0.5),
+            ),
+        ),
         Ok(),
     ],
 )
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from tamarackway_core.limits import TargetRateLimit
 from tamarackway_core.quarantine import Loss
 
 
@@ -45,6 +46,7 @@
     :param losses: targets that were lost recently while running a request.
     :param known_from: version after which the sender knows all changes by
         table, removals included.
+    :param rate_limits: limits that targets named to the sender recently.
     """
 
     name: str
@@ -55,6 +57,7 @@
     rates: Mapping[str, float]
     losses: tuple[Loss, ...] = ()
     known_from: Mapping[str, int] = field(default_factory=dict)
+    rate_limits: tuple[TargetRateLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
@@ -82,6 +82,7 @@
             else:
                 catalogue.remove(name)
         self._state.target_stats.retain(catalogue.names)
+        self._state.selector.rate_limiter.retain(catalogue.names)
 
     def set_evacuated(self, domains: frozenset[str]) -> None:
         """Replace the set of failure domains whose targets get no requests.
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -199,7 +199,7 @@
                 return self._give_up(context, 'the time is over')
             candidate = self._choose(context)
             if candidate is None:
-                return self._give_up(context, 'no target is free for it')
+                return self._give_up_without_target(context)
             attempt = await self._attempt(context, candidate, remaining_s)
             response = self._evaluate(context, attempt)
             if response is not None:
@@ -303,12 +303,34 @@
         budget = self._state.retry_budget(context.query.service)
         return budget.take(self._state.selector.instances, self._clock.now_s())
 
-    def _give_up(self, context: RequestContext, reason: str) -> ForwardResponse:
+    def _give_up_without_target(
+        self, context: RequestContext
+    ) -> ForwardResponse:
+        """Return the final response when no target accepts the request."""
+        delay_s = None
+        if not context.may_have_run:
+            delay_s = self._state.selector.return_delay_s(
+                context.query, self._clock.now_s()
+            )
+        if delay_s is None:
+            return self._give_up(context, 'no target is free for it')
+        return self._give_up(
+            context,
+            'all targets are busy or at their rate limits',
+            max(delay_s, _RETRY_AFTER_S),
+        )
+
+    def _give_up(
+        self,
+        context: RequestContext,
+        reason: str,
+        retry_after_s: float = _RETRY_AFTER_S,
+    ) -> ForwardResponse:
         """Return the final response after attempts without success."""
         if context.failed_response is not None:
             return context.failed_response
         if not context.may_have_run:
-            return _refuse(reason, _RETRY_AFTER_S)
+            return _refuse(reason, retry_after_s)
         is_late = self._clock.now_s() >= context.deadline_s - _MIN_REMAINING_S
         status = _GATEWAY_TIMEOUT if is_late else _BAD_GATEWAY
         return ForwardResponse(status, Origin.FAILURE, reason=reason)
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -282,8 +282,12 @@
         self, record: TargetRecord, metadata: ResponseMetadata
     ) -> None:
         total_per_s = metadata.total_per_s
-        if total_per_s is not None and self._state.rate_limiter.observe(
-            record.name, record.incarnation, total_per_s
+        if total_per_s is None:
+            return
+        rate_limiter = self._state.selector.rate_limiter
+        now_s = self._clock.now_s()
+        if rate_limiter.observe(
+            record.name, record.incarnation, total_per_s, now_s
         ):
             _log.info(
                 'Target %s of service %s accepts %.3g requests per second '
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -3,7 +3,6 @@
 import math
 
 import anyio
-from tamarackway_core.limits import TargetRateLimiter
 from tamarackway_core.quarantine import QuarantineRegistry
 from tamarackway_core.steering import (
     Catalogue,
@@ -48,7 +47,6 @@
         self.run_times = RunTimeEstimator()
         self.demand = DemandTracker(region)
         self.quarantine = QuarantineRegistry()
-        self.rate_limiter = TargetRateLimiter()
         self.selector = TargetSelector(
             region,
             self.catalogue,
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -58,6 +58,7 @@
             rates=self._state.demand.local_rates(now_s),
             losses=self._state.quarantine.list_recent(now_s),
             known_from=self._follow.known_from(),
+            rate_limits=self._state.selector.rate_limiter.list_own(now_s),
         )
 
     def handle_heartbeat(
@@ -65,7 +66,7 @@
         heartbeat: FleetBeat,
         member: FleetMember,
     ) -> None:
-        """Apply the progress, request rates and losses of a peer."""
+        """Apply the progress, request rates, losses and limits of a peer."""
         for table, last_change in heartbeat.positions.items():
             age_s = heartbeat.ages_s.get(table)
             if age_s is not None:
@@ -81,6 +82,8 @@
         now_s = self._clock.now_s()
         for loss in heartbeat.losses:
             self._state.quarantine.report(loss, now_s)
+        for limit in heartbeat.rate_limits:
+            self._state.selector.rate_limiter.update_from_peer(limit, now_s)
 
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changed rows that a peer relays."""
@@ -98,6 +101,7 @@
         names = sorted([self._own.name, *(peer.name for peer in peers)])
         self._state.selector.instances = len(names)
         self._state.selector.position = names.index(self._own.name)
+        self._state.selector.rate_limiter.divide_among(self._own.name, names)
 
     def list_entries(
         self,
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 """Tests of forwarding and retries with targets that fail in different ways."""
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
@@ -347,3 +348,31 @@
     response, sender = serve_request(state, [])
     assert (response.status, response.origin) == (503, Origin.REFUSAL)
     assert not sender.names
+
+
+# Guards against requests held, or sent all the same, when every target has
+# reached the rate limit that it set.
+@pytest.mark.parametrize(
+    ('attempts', 'status', 'origin'),
+    [
+        ([], 503, Origin.REFUSAL),
+        ([REFUSED], 503, Origin.REFUSAL),
+        ([LOST], 502, Origin.FAILURE),
+    ],
+)
+def test_request_beyond_all_rate_limits_is_answered_at_once(
+    attempts: list[AttemptResult], status: int, origin: Origin
+) -> None:
+    state = make_state(targets=2)
+    limiter = state.selector.rate_limiter
+    limiter.divide_among('i1', ['i1'])
+    for name in ('t0', 't1'):
+        limiter.observe(name, 1, 0.5, 0)
+    # The buckets of the targets that may still be tried are filled.
+    for name in ('t0', 't1')[: len(attempts)]:
+        limiter.observe(name, 1, math.inf, 0)
+    response, sender = serve_request(state, attempts)
+    assert (response.status, response.origin) == (status, origin)
+    assert len(sender.names) == len(attempts)
+    if origin == Origin.REFUSAL:
+        assert response.retry_after_s >= 0.2
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -1,6 +1,7 @@
 """Tests of target statistics and attempt results, without a network."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 import anyio
@@ -250,3 +251,35 @@
     attempt = environment.send()
     assert attempt.outcome == AttemptOutcome.REFUSED
     assert not attempt.may_have_run
+
+
+@pytest.mark.parametrize(
+    ('named_per_s', 'wrong_target', 'known_per_s'),
+    [
+        ([4.5], False, 4.5),
+        ([4.5, 2.0], False, 2.0),
+        ([4.5, None], False, 4.5),
+        ([4.5, math.inf], False, math.inf),
+        ([4.5], True, math.inf),
+    ],
+)
+def test_rate_limit_in_a_response_is_recorded(
+    environment: Environment,
+    named_per_s: list[float | None],
+    known_per_s: float,
+    *,
+    wrong_target: bool,
+) -> None:
+    for total_per_s in named_per_s:
+        metadata = ResponseMetadata(
+            not_run=wrong_target,
+            wrong_target=wrong_target,
+            signed=True,
+            total_per_s=total_per_s,
+        )
+        environment.sender = TargetSender(
+            environment.state, FakeCodec(metadata), environment.clock
+        )
+        environment.send()
+    limiter = environment.state.selector.rate_limiter
+    assert limiter.total_per_s('t', 1) == known_per_s
