Bound the bytes that a connection receives for one request

Bytes that are no answer may come without end, in a head or a body. A body was cut off at 8 MiB; a head, interim responses, responses to other requests and trailers were not, and 40 bodies at once could fill the memory of an instance (200 MB on the smallest), so that all its requests were lost with it.

The attempt ends as lost, the connection is closed, and the request goes on as after any other lost answer.

--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -62,6 +62,95 @@
     return await asyncio.wait_for(exchange, 1), connection
 
 
+MIB = 1_048_576
+CHUNK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
+
+
+# Guards against a server whose bytes never end, in a head or a body, and fill
+# the memory of the instance until the caller gives up.
+@pytest.mark.parametrize(
+    ('start', 'part', 'max_bytes'),
+    [
+        (b'HTTP/1.1 200 O', b'K' * 65_536, MIB),
+        (b'HTTP/1.1 200 OK\r\nid: ', b'x' * 65_536, MIB),
+        (b'HTTP/1.1 200 OK\r\n', b'id: own\r\n' * 4096, MIB),
+        (b'HTTP/1.1 200 OK\r\n', b'x' * 100, MIB),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 1024, 10 * MIB),
+        (b'', OTHER * 1024, 10 * MIB),
+        (b'HTTP/1.1 200 OK\r\nid: own\r\n\r\n', b'x' * 65_536, 10 * MIB),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n',
+            b'x' * 65_536,
+            10 * MIB,
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            CHUNK,
+            10 * MIB,
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+            b'trailer: x\r\n' * 4096,
+            10 * MIB,
+        ),
+    ],
+)
+def test_endless_response_is_cut_off(
+    start: bytes, part: bytes, max_bytes: int
+) -> None:
+    async def receive() -> int:
+        connection = Connection()
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        exchange = asyncio.ensure_future(connection.exchange(b'ask', matches))
+        await asyncio.sleep(0)
+        connection.data_received(start)
+        received_bytes = 0
+        while not transport.closed and received_bytes < 2 * max_bytes:
+            connection.data_received(part)
+            received_bytes += len(part)
+        exchange.cancel()
+        await asyncio.wait([exchange])
+        assert transport.closed
+        return received_bytes
+
+    # A second exchange shows that the first one released its memory budget.
+    for _ in 'ab':
+        assert asyncio.run(receive()) <= max_bytes
+
+
+def test_memory_of_concurrent_endless_responses_is_bounded() -> None:
+    start = b'HTTP/1.1 200 OK\r\nid: own\r\n\r\n'
+
+    part = b'x' * 65_536
+
+    async def receive() -> int:
+        connections = [Connection() for _ in range(40)]
+        exchanges = []
+        for connection in connections:
+            connection.connection_made(FakeTransport())
+            exchanges.append(
+                asyncio.ensure_future(connection.exchange(b'ask', matches))
+            )
+        await asyncio.sleep(0)
+        for connection in connections:
+            connection.data_received(start)
+        received_bytes = 0
+        for _ in range(5 * 16):
+            for connection in connections:
+                if connection.is_open:
+                    connection.data_received(part)
+                    received_bytes += len(part)
+        for exchange in exchanges:
+            exchange.cancel()
+        await asyncio.wait(exchanges)
+        return received_bytes
+
+    for _ in 'ab':
+        # 64 MiB for all, and one more part on each connection.
+        assert asyncio.run(receive()) <= 64 * MIB + 40 * len(part)
+
+
 @pytest.mark.parametrize(
     ('received', 'reusable'),
     [
--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -124,6 +124,7 @@
 
     def _end_exchange(self) -> None:
         self._waiter = None
+        self._reader.end_exchange()
         self.is_first = False
         if not self.reusable:
             self.close()
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -6,9 +6,15 @@
 
 import httptools
 
+from tamarackway_entry.upstream._budget import ReceiveBudget
 from tamarackway_entry.upstream._errors import InvalidResponseError
 
-_MAX_BODY_BYTES: Final = 8_388_608
+_MAX_HEAD_BYTES: Final = 65_536
+# Of all responses in an exchange, informational and skipped ones included.
+_MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_HEAD_BYTES
+_BUDGET: Final = ReceiveBudget(
+    64 * 1024 * 1024
+)  # a third of the smallest memory
 _FIRST_FINAL_STATUS: Final = 200
 _FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS: Final = frozenset((204, 304))
@@ -62,6 +68,14 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._headers_complete = False
+        self._head_bytes = 0
+        self._exchange_bytes = 0
+
+    def end_exchange(self) -> None:
+        """Stop counting the bytes received for the current request."""
+        _BUDGET.release(self._exchange_bytes)
+        self._exchange_bytes = 0
+        self._head_bytes = 0
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes.
@@ -69,6 +83,11 @@
         :param received: bytes received on the connection.
         :raises InvalidResponseError: if the response is invalid or too large.
         """
+        self._exchange_bytes += len(received)
+        self._head_bytes += len(received)
+        fits = _BUDGET.add(len(received), self._exchange_bytes)
+        if not fits or self._exchange_bytes > _MAX_EXCHANGE_BYTES:
+            raise InvalidResponseError('the answer is too long')
         try:
             self._parser.feed_data(received)
         except (
@@ -76,8 +95,10 @@
             httptools.HttpParserUpgrade,
         ) as error:
             raise InvalidResponseError(f'not an answer: {error}') from error
-        if len(self._body) > _MAX_BODY_BYTES:
-            raise InvalidResponseError('the answer is too long')
+        if self._headers_complete:
+            self._head_bytes = 0
+        elif self._head_bytes > _MAX_HEAD_BYTES:
+            raise InvalidResponseError('the head of the answer is too long')
 
     def end_cleanly(self) -> None:
         """Handle the end of the stream, which ends a body without a length."""
