--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -12,9 +12,8 @@
 _MAX_HEAD_BYTES: Final = 65_536
 # Of all responses in an exchange, informational and skipped ones included.
 _MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_HEAD_BYTES
-_BUDGET: Final = ReceiveBudget(
-    64 * 1024 * 1024
-)  # a third of the smallest memory
+# Less than a third of the memory of the smallest instance.
+_BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
 _FIRST_FINAL_STATUS: Final = 200
 _FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS: Final = frozenset((204, 304))
