Log the requests in progress at each step of a shutdown

The logs told when a shutdown began and when its drain had finished, but not what was in progress. A drain that does not end, a process that a signal ends and an instance without load could not be told apart.

--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -47,7 +47,7 @@
                 signal.SIGINT,
             ) as signals:
                 async for number in signals:
-                    _log.info('Shutting down after %s.', number.name)
+                    self._log_step(f'Shutting down after {number.name}')
                     break
             await self._leave()
             group.cancel_scope.cancel()
@@ -61,13 +61,20 @@
         self._lifecycle.leave()
         await self._notify_peers()
         await anyio.sleep(self._advice_lifetime_s + _ADVICE_MARGIN_S)
+        self._log_step('Waiting for requests in progress')
         await self._drain()
+        self._log_step('Closing connections')
         self._lifecycle.stop()
         with anyio.move_on_after(_DRAIN_TIMEOUT_S):
             while self._lifecycle.running_servers:
                 await anyio.sleep(_CHECK_INTERVAL_S)
         await self._drain()
-        _log.info('Drain finished.')
+        self._log_step('Drain finished')
+
+    def _log_step(self, step: str) -> None:
+        _log.info(
+            '%s: %d requests in progress.', step, self._lifecycle.in_progress
+        )
 
     async def _drain(self) -> None:
         with anyio.move_on_after(_DRAIN_TIMEOUT_S):
