Bound a graceful shutdown by the grace period

Callers saw connections closed without a response around a SIGTERM: all requests that an instance had in progress at once, 0.6 to 2 s after they had been passed on to a target.

Cause: ShutdownService waited until no request was in progress at one of its checks, for up to 60 s, and accepted requests all the while. Under steady traffic that moment does not come, and the platform kills the process at the end of the grace period, which the service did not know (SteeringBounds.grace_s was parsed and never used). An accepted request could also have more time left than the process.

ShutdownSchedule derives all steps from the signal and the grace period. A request is accepted only if its deadline lies before the time at which responses are due, so every accepted request ends before the process does, under any load. What was accepted before the signal with a longer deadline gets 502 when the time is up, rather than a closed connection.

--- a/packages/entry/src/tamarackway_entry/assembly/_interfaces.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_interfaces.py
@@ -1,5 +1,7 @@
 """Builds the interfaces for callers and operators, and the shutdown service."""
 
+from typing import Final
+
 from tamarackway_core.places import parse_address
 
 from tamarackway_entry.admin import (
@@ -25,6 +27,8 @@
 from tamarackway_entry.targets import TargetDirectory
 from tamarackway_entry.telemetry import Metrics, Tracing
 
+_GRACE_S: Final = 60.0
+
 
 def build_interfaces(kernel: Kernel) -> None:
     """Register the interfaces and the shutdown service.
@@ -38,8 +42,10 @@
     once = kernel.find('once', AtMostOnceRunner)
     shutdown = ShutdownService(
         lifecycle,
+        kernel.find('clock', SystemClock),
         kernel.find('peers', PeerService).broadcast_heartbeat,
         lambda: recorder.is_idle and once.is_idle,
+        lambda: _GRACE_S,
         kernel.find('settings', Settings).callers.advice_lifetime_s,
     )
     kernel.register('shutdown', shutdown)
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -29,6 +29,7 @@
 )
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
+from tamarackway_entry.lifecycle import Lifecycle
 from tamarackway_entry.upstream import Response
 
 _NOT_FOUND: Final = 404
@@ -88,6 +89,7 @@
 
     :param state: configuration, targets and statistics of this instance.
     :param sender: sends requests to targets.
+    :param lifecycle: tells which requests a shutdown still admits.
     :param clock: clock of the daemon.
     :param record: called with each ended request and its response.
     """
@@ -96,12 +98,14 @@
         self,
         state: SteeringState,
         sender: TargetSender,
+        lifecycle: Lifecycle,
         clock: Clock,
         record: RecordCallback,
     ) -> None:
         """Store the dependencies."""
         self._state = state
         self._sender = sender
+        self._lifecycle = lifecycle
         self._clock = clock
         self._record = record
 
@@ -168,6 +172,11 @@
             fingerprint, self._clock.now_s()
         ):
             return _refuse('targets died while they ran this request', 0)
+        if not self._lifecycle.admits(_deadline_s(request, route)):
+            return _refuse(
+                'the instance is shutting down',
+                self._lifecycle.return_delay_s(),
+            )
         return None
 
     def _create_context(
@@ -186,8 +195,7 @@
             route.home_regions,
             request.request_id,
         )
-        timeout_s = min(route.timeout_s, request.timeout_s)
-        deadline_s = request.received_s + timeout_s
+        deadline_s = _deadline_s(request, route)
         return RequestContext(request, route, query, deadline_s, disconnected)
 
     async def _forward(self, context: RequestContext) -> ForwardResponse:
@@ -227,7 +235,11 @@
         )
         context.tried.add(name)
         started_s = self._clock.now_s()
-        attempt = await self._send(context, candidate, remaining_s)
+        attempt = AttemptResult(
+            AttemptOutcome.ABANDONED, error='the instance is shutting down'
+        )
+        with self._lifecycle.track_attempt():
+            attempt = await self._send(context, candidate, remaining_s)
         elapsed_s = self._clock.now_s() - started_s
         if attempt.was_sent:
             context.sent_attempts += 1
@@ -339,6 +351,10 @@
         return self._state.policy(context.query.service)
 
 
+def _deadline_s(request: ForwardRequest, route: Route) -> float:
+    return request.received_s + min(route.timeout_s, request.timeout_s)
+
+
 def _describe_attempt(
     candidate: Candidate, attempt: AttemptResult, elapsed_s: float
 ) -> str:
--- a/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
@@ -4,16 +4,22 @@
 from contextlib import contextmanager
 from typing import Final
 
+import anyio
 from tamarackway_core.places import State
+from tamarackway_core.shutdown import ShutdownSchedule
 
 from tamarackway_entry.kernel import Clock
 
 _RATE_WINDOW_S: Final = 1.0
+_RETURN_DELAY_S: Final = 0.05  # other instances serve at once
 
 
 class Lifecycle:
     """Tracks the state of this instance, its servers and its requests.
 
+    The owner may replace the callback ``return_delay_s``. It returns after how
+    many seconds a caller should come back that is refused during a shutdown.
+
     :param clock: clocks of the daemon.
     """
 
@@ -23,19 +29,40 @@
         self.in_progress = 0
         self.running_servers = 0
         self.requests_per_s: float = 0
+        self.return_delay_s: Callable[[], float] = lambda: _RETURN_DELAY_S
         self._clock = clock
         self._window_requests = 0
         self._window_start_s = clock.now_s()
         self._stop_callbacks: list[Callable[[], None]] = []
+        self._schedule: ShutdownSchedule | None = None
+        self._attempts: set[anyio.CancelScope] = set()
 
     @property
     def is_leaving(self) -> bool:
         """Whether a graceful shutdown has begun."""
         return self.state == State.LEAVING
 
-    def leave(self) -> None:
-        """Enter the leaving state, which begins a graceful shutdown."""
+    def leave(self, schedule: ShutdownSchedule) -> None:
+        """Enter the leaving state, which begins a graceful shutdown.
+
+        :param schedule: times of the shutdown.
+        """
         self.state = State.LEAVING
+        self._schedule = schedule
+
+    def admits(self, deadline_s: float) -> bool:
+        """Return whether a new request can be served before the shutdown.
+
+        :param deadline_s: monotonic time by which its response is due.
+        """
+        if self._schedule is None:
+            return True
+        return self._schedule.admits(self._clock.now_s(), deadline_s)
+
+    def cancel_attempts(self) -> None:
+        """Cancel whatever requests still wait for."""
+        for scope in self._attempts:
+            scope.cancel()
 
     def on_stop(self, callback: Callable[[], None]) -> None:
         """Register a function that stops a server from accepting."""
@@ -65,6 +92,16 @@
         finally:
             self.in_progress -= 1
 
+    @contextmanager
+    def track_attempt(self) -> Generator[anyio.CancelScope]:
+        """Track an attempt to serve a request, which a shutdown may cancel."""
+        with anyio.CancelScope() as scope:
+            self._attempts.add(scope)
+            try:
+                yield scope
+            finally:
+                self._attempts.discard(scope)
+
     @contextmanager
     def track_server(self) -> Generator[None]:
         """Track a server as running."""
--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -1,26 +1,34 @@
 """Graceful shutdown on SIGTERM or SIGINT."""
 
 import signal
-from collections.abc import Awaitable, Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 import anyio
+from tamarackway_core.shutdown import ShutdownSchedule
 
+from tamarackway_entry.kernel import Clock
 from tamarackway_entry.lifecycle._lifecycle import Lifecycle
 from tamarackway_entry.telemetry import component_logger
 
 _CHECK_INTERVAL_S: Final = 0.1
 _ADVICE_MARGIN_S: Final = 0.5
-_DRAIN_TIMEOUT_S: Final = 60.0
 _log = component_logger('lifecycle')
 
 
 class ShutdownService:
-    """Drains this instance on a signal and ends when it is idle.
+    """Drains this instance on a signal and ends it within its grace period.
+
+    Peers and callers are told first, while requests are still accepted. Then
+    new requests are refused until all accepted ones have a response, and the
+    connections are closed.
 
     :param lifecycle: state of the instance.
+    :param clock: clocks of the daemon.
     :param notify_peers: sends a heartbeat to all peers.
     :param is_idle: whether all outcomes have been recorded.
+    :param grace_s: returns the time in seconds from the signal until the
+        process is killed.
     :param advice_lifetime_s: time for which callers may cache discovery
         results.
     """
@@ -28,14 +36,18 @@
     def __init__(
         self,
         lifecycle: Lifecycle,
-        notify_peers: Callable[[], Awaitable[None]],
+        clock: Clock,
+        notify_peers: Callable[[], Coroutine[Any, Any, None]],
         is_idle: Callable[[], bool],
+        grace_s: Callable[[], float],
         advice_lifetime_s: float,
     ) -> None:
         """Create a service that waits for a signal when run."""
         self._lifecycle = lifecycle
+        self._clock = clock
         self._notify_peers = notify_peers
         self._is_idle = is_idle
+        self._grace_s = grace_s
         self._advice_lifetime_s = advice_lifetime_s
 
     async def run(self) -> None:
@@ -46,9 +58,12 @@
                 signal.SIGTERM,
                 signal.SIGINT,
             ) as signals:
-                async for number in signals:
-                    self._log_step(f'Shutting down after {number.name}')
-                    break
+                number = await anext(signals)
+                _log.info(
+                    'Shutting down after %s: %d requests in progress.',
+                    number.name,
+                    self._lifecycle.in_progress,
+                )
             await self._leave()
             group.cancel_scope.cancel()
 
@@ -58,25 +73,45 @@
             await anyio.sleep(_CHECK_INTERVAL_S)
 
     async def _leave(self) -> None:
-        self._lifecycle.leave()
-        await self._notify_peers()
-        await anyio.sleep(self._advice_lifetime_s + _ADVICE_MARGIN_S)
-        self._log_step('Waiting for requests in progress')
-        await self._drain()
-        self._log_step('Closing connections')
-        self._lifecycle.stop()
-        with anyio.move_on_after(_DRAIN_TIMEOUT_S):
-            while self._lifecycle.running_servers:
-                await anyio.sleep(_CHECK_INTERVAL_S)
-        await self._drain()
-        self._log_step('Drain finished')
-
-    def _log_step(self, step: str) -> None:
-        _log.info(
-            '%s: %d requests in progress.', step, self._lifecycle.in_progress
+        schedule = ShutdownSchedule(
+            self._clock.now_s(),
+            self._grace_s(),
+            self._advice_lifetime_s + _ADVICE_MARGIN_S,
         )
+        self._lifecycle.leave(schedule)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._notify_peers)
+            await anyio.sleep(schedule.admission_ends_s - self._clock.now_s())
+            self._log_step('New requests are refused', schedule)
+            if not await self._wait(self._is_drained, schedule.responses_due_s):
+                self._log_step('Unfinished requests are cancelled', schedule)
+                self._lifecycle.cancel_attempts()
+            self._lifecycle.stop()
+            await self._wait(self._is_closed, schedule.connections_closed_s)
+            self._log_step('Drain finished', schedule)
+            group.cancel_scope.cancel()
+
+    async def _wait(self, is_done: Callable[[], bool], until_s: float) -> bool:
+        """Wait for a condition and return whether it came true in time."""
+        while not is_done():
+            left_s = until_s - self._clock.now_s()
+            if left_s <= 0:
+                return False
+            await anyio.sleep(min(_CHECK_INTERVAL_S, left_s))
+        return True
 
-    async def _drain(self) -> None:
-        with anyio.move_on_after(_DRAIN_TIMEOUT_S):
-            while self._lifecycle.in_progress or not self._is_idle():
-                await anyio.sleep(_CHECK_INTERVAL_S)
+    def _is_drained(self) -> bool:
+        return not self._lifecycle.in_progress and self._is_idle()
+
+    def _is_closed(self) -> bool:
+        return not self._lifecycle.running_servers and self._is_drained()
+
+    def _log_step(self, step: str, schedule: ShutdownSchedule) -> None:
+        _log.info(
+            '%s %.1f s after the signal, %d requests in progress, killed '
+            'after %.1f s.',
+            step,
+            self._clock.now_s() - schedule.started_s,
+            self._lifecycle.in_progress,
+            schedule.grace_s,
+        )
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 from tamarackway_core.places import Address, Place
+from tamarackway_core.shutdown import ShutdownSchedule
 from tamarackway_core.steering import (
     Candidate,
     Configuration,
@@ -25,6 +26,7 @@
     SteeringState,
 )
 from tamarackway_entry.forwarding._sender import AttemptOutcome, AttemptResult
+from tamarackway_entry.lifecycle import Lifecycle
 from tamarackway_entry.tests.test_following import ManualClock
 from tamarackway_entry.upstream import Response
 
@@ -114,6 +116,7 @@
     attempts: Sequence[AttemptResult],
     request: ForwardRequest | None = None,
     *,
+    lifecycle: Lifecycle | None = None,
     disconnected: bool = False,
 ) -> tuple[ForwardResponse, FakeSender]:
     sender = FakeSender(attempts)
@@ -121,6 +124,7 @@
     forwarder = Forwarder(
         state,
         sender,  # type: ignore[arg-type]
+        lifecycle or Lifecycle(ManualClock()),
         ManualClock(),
         lambda _request, response, context: records.append((response, context)),
     )
@@ -266,6 +270,7 @@
     forwarder = Forwarder(
         make_state(idempotent=idempotent),
         sender,  # type: ignore[arg-type]
+        Lifecycle(ManualClock()),
         ManualClock(),
         lambda _request, _response, _context: None,
     )
@@ -293,6 +298,7 @@
     forwarder = Forwarder(
         state,
         sender,  # type: ignore[arg-type]
+        Lifecycle(ManualClock()),
         ManualClock(),
         lambda _request, _response, _context: None,
     )
@@ -322,6 +328,7 @@
     forwarder = Forwarder(
         state,
         FakeSender([LOST]),  # type: ignore[arg-type]
+        Lifecycle(ManualClock()),
         ManualClock(),
         lambda _request, _response, context: contexts.append(context),  # type: ignore[arg-type]
     )
@@ -376,3 +383,27 @@
     assert len(sender.names) == len(attempts)
     if origin == Origin.REFUSAL:
         assert response.retry_after_s >= 0.2
+
+
+# Guards against requests that a leaving instance passes on although it may end
+# before their response.
+@pytest.mark.parametrize(
+    ('timeout_s', 'status', 'sends'),
+    [(0.5, 200, 1), (2.0, 503, 0)],
+)
+def test_leaving_instance_refuses_what_it_may_not_finish(
+    timeout_s: float, status: int, sends: int
+) -> None:
+    clock = ManualClock()
+    lifecycle = Lifecycle(clock)
+    lifecycle.leave(ShutdownSchedule(clock.now_s(), 1.5, 1))
+    request = replace(
+        make_request(), received_s=clock.now_s(), timeout_s=timeout_s
+    )
+    response, sender = serve_request(
+        make_state(), [OK], request, lifecycle=lifecycle
+    )
+    assert response.status == status
+    assert len(sender.names) == sends
+    if response.origin == Origin.REFUSAL:
+        assert response.retry_after_s > 0
