Keep the signal receiver open during a shutdown

Callers lost all requests that an instance had in progress when it got SIGTERM a second time: the process ended at once, with most of its grace period left.

Cause: the receiver was closed before the drain began. That removes the handler, and the default action of SIGTERM and SIGINT is to end the process.

The receiver now stays open until the end of the drain; further signals are logged and have no effect, since the schedule already ends in time.

--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -1,7 +1,7 @@
 """Graceful shutdown on SIGTERM or SIGINT."""
 
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any, Final
 
 import anyio
@@ -21,7 +21,7 @@
 
     Peers and callers are told first, while requests are still accepted. Then
     new requests are refused until all accepted ones have a response, and the
-    connections are closed.
+    connections are closed. Signals that are repeated meanwhile have no effect.
 
     :param lifecycle: state of the instance.
     :param clock: clocks of the daemon.
@@ -52,20 +52,22 @@
 
     async def run(self) -> None:
         """Wait for a signal, then shut down."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._update_request_rate)
-            with anyio.open_signal_receiver(
-                signal.SIGTERM,
-                signal.SIGINT,
-            ) as signals:
+        # The receiver stays open, since a signal without one ends the process.
+        with anyio.open_signal_receiver(
+            signal.SIGTERM,
+            signal.SIGINT,
+        ) as signals:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._update_request_rate)
                 number = await anext(signals)
                 _log.info(
                     'Shutting down after %s: %d requests in progress.',
                     number.name,
                     self._lifecycle.in_progress,
                 )
-            await self._leave()
-            group.cancel_scope.cancel()
+                group.start_soon(_ignore_signals, signals)
+                await self._leave()
+                group.cancel_scope.cancel()
 
     async def _update_request_rate(self) -> None:
         while True:
@@ -115,3 +117,8 @@
             self._lifecycle.in_progress,
             schedule.grace_s,
         )
+
+
+async def _ignore_signals(signals: AsyncIterator[signal.Signals]) -> None:
+    async for number in signals:
+        _log.info('Ignored %s, the shutdown has begun.', number.name)
