--- a/packages/entry/src/tamarackway_entry/lifecycle/__init__.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/__init__.py
@@ -4,3 +4,6 @@
 from tamarackway_entry.lifecycle._shutdown import (
     ShutdownService as ShutdownService,
 )
+from tamarackway_entry.lifecycle._signals import (
+    receive_signals as receive_signals,
+)
--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -9,6 +9,7 @@
 
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.lifecycle._lifecycle import Lifecycle
+from tamarackway_entry.lifecycle._signals import receive_signals
 from tamarackway_entry.telemetry import component_logger
 
 _CHECK_INTERVAL_S: Final = 0.1
@@ -53,10 +54,7 @@
     async def run(self) -> None:
         """Wait for a signal, then shut down."""
         # The receiver stays open, since a signal without one ends the process.
-        with anyio.open_signal_receiver(
-            signal.SIGTERM,
-            signal.SIGINT,
-        ) as signals:
+        with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._update_request_rate)
                 number = await anext(signals)
