Leave more time for the end of a process

Connections that are accepted while the HTTP server closes its listening socket are missed by its only pass over all connections, and it then waits until their callers close them. And 0.25 s were left for the end of the interpreter and for a signal that is handled late. Now each check closes connections without a request, and 0.6 s are left.

--- a/packages/core/src/tamarackway_core/shutdown/_schedule.py
+++ b/packages/core/src/tamarackway_core/shutdown/_schedule.py
@@ -5,7 +5,7 @@
 
 # The end of the grace period is left for what must follow the last response.
 _CLOSING_S: Final = 0.55  # the HTTP servers write responses and close
-_EXIT_S: Final = 0.25  # the interpreter ends; signals may be handled late
+_EXIT_S: Final = 0.6  # the interpreter ends; signals may be handled late
 _MIN_SERVING_FRACTION: Final = 0.5  # of short grace periods
 
 
@@ -22,7 +22,7 @@
 
     >>> schedule = ShutdownSchedule(100, grace_s=10, advice_lifetime_s=4)
     >>> schedule.admission_ends_s, schedule.responses_due_s
-    (104, 109.2)
+    (104, 108.85)
     """
 
     started_s: float
--- a/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
@@ -69,7 +69,7 @@
         self._stop_callbacks.append(callback)
 
     def stop(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, and close those without a request."""
         for callback in self._stop_callbacks:
             callback()
 
--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -86,8 +86,7 @@
             if not await self._wait(self._is_drained, schedule.responses_due_s):
                 self._log_step('Unfinished requests are cancelled', schedule)
                 self._lifecycle.cancel_attempts()
-            self._lifecycle.stop()
-            await self._wait(self._is_closed, schedule.connections_closed_s)
+            await self._wait(self._close_servers, schedule.connections_closed_s)
             self._log_step('Drain finished', schedule)
             group.cancel_scope.cancel()
 
@@ -103,7 +102,9 @@
     def _is_drained(self) -> bool:
         return not self._lifecycle.in_progress and self._is_idle()
 
-    def _is_closed(self) -> bool:
+    def _close_servers(self) -> bool:
+        """Close what may be closed; return whether all servers have ended."""
+        self._lifecycle.stop()
         return not self._lifecycle.running_servers and self._is_drained()
 
     def _log_step(self, step: str, schedule: ShutdownSchedule) -> None:
--- a/packages/entry/src/tamarackway_entry/serving/_server.py
+++ b/packages/entry/src/tamarackway_entry/serving/_server.py
@@ -55,5 +55,11 @@
         yield
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and end after the requests in flight."""
+        """Close the listening socket and end after the requests in flight.
+
+        Further calls close connections that were accepted meanwhile.
+        """
+        if self.should_exit:
+            for connection in tuple(self.server_state.connections):
+                connection.shutdown()
         self.should_exit = True
