Bound numbers where they are decoded

What callers saw: while the store held one odd entry of a target, every request of its service ended with 500, on all instances and after restarts.

Cause: the decoders accepted any number of the right type. One that fits no float (400 digits as "slots") raised OverflowError at each choice of a target; an IPv6 zone of 99 letters in the address raised UnicodeError at each connect. The class is a value that is checked for its type at the decoder and for its size nowhere.

Now tamarackway_core.numbers holds the bounds: types that msgspec checks while it decodes rows, configuration and messages of peers, and two parsers for numbers in headers, addresses and settings. An entry out of bounds names no target; the warning names it and quotes at most 64 bytes of it.

--- a/packages/core/src/tamarackway_core/limits/_target_rate.py
+++ b/packages/core/src/tamarackway_core/limits/_target_rate.py
@@ -7,6 +7,7 @@
 
 from tamarackway_core.limits._bucket import WINDOW_S, TokenBucket
 from tamarackway_core.membership import rank_instances
+from tamarackway_core.numbers import Duration, RateLimit, Serial
 
 _CHANGE_FRACTION: Final = 0.2  # smaller changes are not worth a log line
 _MIN_SHARE_PER_S: Final = 0.5  # an instance can seldom use less in time
@@ -28,9 +29,9 @@
     """
 
     target: str
-    incarnation: int
-    total_per_s: float
-    age_s: float
+    incarnation: Serial
+    total_per_s: RateLimit
+    age_s: Duration
 
 
 class _KnownLimit:
--- a/packages/core/src/tamarackway_core/places/_model.py
+++ b/packages/core/src/tamarackway_core/places/_model.py
@@ -6,8 +6,10 @@
 from typing import Final
 
 from tamarackway_core.errors import SettingsError
+from tamarackway_core.numbers import parse_integer
 
 _MAX_PORT: Final = 65535
+_MAX_QUOTED: Final = 64
 
 
 class State(enum.StrEnum):
@@ -43,20 +45,31 @@
     >>> parse_address('127.0.0.1:80')
     Address(host='127.0.0.1', port=80)
     """
-    host, _, port_text = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError as error:
+    bracketed, _, port_text = text.rpartition(':')
+    host = bracketed.strip('[]')
+    quoted = repr(text[:_MAX_QUOTED])
+    if not _is_ip(host):
         raise SettingsError(
-            f'address {text!r} does not start with an IP number',
+            f'address {quoted} does not start with an IP number',
             'write it as 127.0.0.1:8080',
-        ) from error
-    if not port_text.isdigit() or not 0 < int(port_text) <= _MAX_PORT:
+        )
+    port = parse_integer(port_text, maximum=_MAX_PORT)
+    if not port:
         raise SettingsError(
-            f'address {text!r} has no port from 1 to {_MAX_PORT}',
+            f'address {quoted} has no port from 1 to {_MAX_PORT}',
             'write it as 127.0.0.1:8080',
         )
-    return Address(host.strip('[]'), int(port_text))
+    return Address(host, port)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    # The module does not check zones of IPv6 addresses, so that any text
+    # could follow the percent sign.
+    return '%' not in text
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarackway_core/quarantine/_registry.py
+++ b/packages/core/src/tamarackway_core/quarantine/_registry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from tamarackway_core.numbers import Serial
+
 QUARANTINE_LOSSES: Final = 2
 _RETENTION_S: Final = 600.0
 _MAX_FINGERPRINTS: Final = 4096
@@ -25,7 +27,7 @@
 
     fingerprint: str
     target: str
-    incarnation: int
+    incarnation: Serial
 
 
 @dataclass(slots=True)
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from tamarackway_core.limits import TargetRateLimit
+from tamarackway_core.numbers import Duration, Rate, Serial
 from tamarackway_core.quarantine import Loss
 
 
@@ -51,12 +52,12 @@
 
     name: str
     member: FleetMember | None
-    positions: Mapping[str, int]
-    ages_s: Mapping[str, float]
+    positions: Mapping[str, Serial]
+    ages_s: Mapping[str, Duration]
     store_answers: bool
-    rates: Mapping[str, float]
+    rates: Mapping[str, Rate]
     losses: tuple[Loss, ...] = ()
-    known_from: Mapping[str, int] = field(default_factory=dict)
+    known_from: Mapping[str, Serial] = field(default_factory=dict)
     rate_limits: tuple[TargetRateLimit, ...] = ()
 
 
@@ -72,7 +73,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: Serial
     removed: bool = False
 
 
@@ -89,7 +90,7 @@
     """
 
     table: str
-    after: int
-    position: int
+    after: Serial
+    position: Serial
     rows: tuple[StoredRow, ...]
     after_outage: bool = False
--- a/packages/core/src/tamarackway_core/wire/_messages.py
+++ b/packages/core/src/tamarackway_core/wire/_messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from tamarackway_core.membership import Member
+from tamarackway_core.numbers import Duration
 from tamarackway_core.once import RunResult
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
@@ -62,7 +63,7 @@
     row_key: str
     token: str
     incarnation: str
-    timeout_s: float
+    timeout_s: Duration
 
 
 @dataclass(frozen=True, slots=True)
