Ignore rows of instances whose addresses are invalid

What was seen: a row "instance/NAME" whose address has the port 99999, or an IPv6 zone, ended each daemon that started while it stood ("no port from 1 to 65535", raised out of FleetService.run and through the kernel).

Cause: FleetMember took any text as an address; it was parsed long after it was decoded, where no error was expected. A heartbeat could bring one too. A missing or unreadable shared secret ended the process in the same way.

FleetMember now checks its addresses as it is created, so that the decoders of rows and of messages refuse it; a row that nests too deeply is ignored too, and without a usable secret the registration is tried again.

--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -1,9 +1,12 @@
 """Tests of the codec for messages between entry instances."""
 
+import contextlib
 import math
+from typing import Any
 
 import cbor2
 import pytest
+from hypothesis import given, settings, strategies
 
 from tamarackway_core.errors import Reason, Refusal, WireError
 from tamarackway_core.limits import TargetRateLimit
@@ -12,6 +15,7 @@
 from tamarackway_core.places import Instance, Place, State
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
+from tamarackway_core.tests.fuzzing import FUZZING
 from tamarackway_core.wire import (
     Envelope,
     ExplainReply,
@@ -81,3 +85,78 @@
 def test_invalid_frames_raise_a_wire_error(frame: bytes) -> None:
     with pytest.raises(WireError):
         decode(frame)
+
+
+MEMBER = {
+    'name': 'e1',
+    'incarnation': '1',
+    'region': 'east',
+    'failure_domain': 'east-a',
+    'callers': '127.0.0.1:1',
+    'peers': '127.0.0.1:2',
+}
+BEAT = {
+    'name': 'e1',
+    'member': MEMBER,
+    'positions': {'t': 7},
+    'ages_s': {'t': 0.5},
+    'store_answers': True,
+    'rates': {'s': 2.5},
+    'losses': [{'fingerprint': 'f', 'target': 't', 'incarnation': 1}],
+    'rate_limits': [
+        {'target': 't', 'incarnation': 1, 'total_per_s': 2, 'age_s': 0.5}
+    ],
+}
+RELAY = {
+    'table': 't',
+    'after': 1,
+    'position': 2,
+    'rows': [{'key': 'k', 'content': b'x', 'version': 2}],
+}
+
+
+def replace_part(document: Any, path: str, part: Any) -> Any:
+    """Return a copy of a document with the part at a path replaced."""
+    name, _, rest = path.partition('.')
+    if not name:
+        return part
+    if isinstance(document, list):
+        return [replace_part(item, path, part) for item in document]
+    return {**document, name: replace_part(document.get(name), rest, part)}
+
+
+@pytest.mark.parametrize(
+    ('kind', 'document', 'path'),
+    [
+        ('FleetBeat', BEAT, 'positions.t'),
+        ('FleetBeat', BEAT, 'ages_s.t'),
+        ('FleetBeat', BEAT, 'rates.s'),
+        ('FleetBeat', BEAT, 'known_from'),
+        ('FleetBeat', BEAT, 'losses.incarnation'),
+        ('FleetBeat', BEAT, 'rate_limits.incarnation'),
+        ('FleetBeat', BEAT, 'rate_limits.total_per_s'),
+        ('FleetBeat', BEAT, 'rate_limits.age_s'),
+        ('FleetBeat', BEAT, 'member.peers'),
+        ('FleetBeat', BEAT, 'member.callers'),
+        ('RowsRelay', RELAY, 'after'),
+        ('RowsRelay', RELAY, 'position'),
+        ('RowsRelay', RELAY, 'rows.version'),
+    ],
+)
+@pytest.mark.parametrize(
+    'odd', [-1, math.nan, -math.inf, 10**400, 'x', '127.0.0.1:70000', []]
+)
+def test_message_out_of_bounds_raises_a_wire_error(
+    kind: str, document: Any, path: str, odd: Any
+) -> None:
+    decode(cbor2.dumps([1, kind, document]))
+    changed = replace_part(document, path, odd)
+    with pytest.raises(WireError):
+        decode(cbor2.dumps([1, kind, changed]))
+
+
+@settings(FUZZING, max_examples=500)
+@given(strategies.binary(max_size=60))
+def test_random_frame_raises_nothing_but_a_wire_error(frame: bytes) -> None:
+    with contextlib.suppress(WireError):
+        decode(frame)
--- a/packages/core/src/tamarackway_core/wire/_codec.py
+++ b/packages/core/src/tamarackway_core/wire/_codec.py
@@ -7,7 +7,7 @@
 import cbor2
 import msgspec
 
-from tamarackway_core.errors import WireError
+from tamarackway_core.errors import SettingsError, WireError
 from tamarackway_core.wire._messages import Message
 
 MAX_MESSAGE_BYTES: Final = 8 * 1024 * 1024
@@ -68,7 +68,7 @@
         )
     try:
         message = msgspec.convert(body, _KINDS[kind])
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, SettingsError) as error:
         raise WireError(
             f'the message is not a valid {kind}: {error}', _REMEDY
         ) from error
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -5,6 +5,7 @@
 
 from tamarackway_core.limits import TargetRateLimit
 from tamarackway_core.numbers import Duration, Rate, Serial
+from tamarackway_core.places import parse_address
 from tamarackway_core.quarantine import Loss
 
 
@@ -31,6 +32,14 @@
     ready: bool = False
     leaving: bool = False
 
+    def __post_init__(self) -> None:
+        """Check the addresses, which come from other processes.
+
+        :raises SettingsError: if one is not an IP address with a port.
+        """
+        parse_address(self.callers)
+        parse_address(self.peers)
+
 
 @dataclass(frozen=True, slots=True)
 class FleetBeat:
--- a/packages/entry/src/tamarackway_entry/fleet/_registry.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_registry.py
@@ -7,6 +7,7 @@
 
 import anyio
 import msgspec
+from tamarackway_core.errors import SettingsError
 from tamarackway_core.recovery import Backoff
 from tamarackway_core.wire import FleetMember, StoredRow
 
@@ -22,6 +23,8 @@
 _KEY_ROW: Final = 'peer-key'  # holds the shared secret
 _INSTANCE_PREFIX: Final = 'instance/'
 _SECRET_BYTES: Final = 32
+# RecursionError: deeply nested JSON exhausts the decoder's stack.
+_DECODE_ERRORS: Final = (msgspec.DecodeError, SettingsError, RecursionError)
 _FIRST_RETRY_S: Final = 0.1
 _MAX_RETRY_S: Final = 0.5
 _log = component_logger('registry')
@@ -82,8 +85,13 @@
             await self._store.write(_TABLE, [member_write])
         result = await self._store.read_table(_TABLE)
         rows = {row.key: row.content for row in result.rows}
+        secret = rows.get(_KEY_ROW, b'')
+        if not secret.isalnum():
+            raise StoreUnavailableError(
+                f'row {_KEY_ROW} of table {_TABLE} holds no secret'
+            )
         return Registration(
-            rows[_KEY_ROW].decode(),
+            secret.decode(),
             tuple(_decode_members(result.rows, member.name)),
         )
 
@@ -98,7 +106,7 @@
             continue
         try:
             member = msgspec.json.decode(row.content, type=FleetMember)
-        except msgspec.DecodeError as error:
+        except _DECODE_ERRORS as error:
             _log.warning('Ignored undecodable row %s: %s.', row.key, error)
             continue
         if member.name != own:
--- a/packages/entry/src/tamarackway_entry/tests/test_fleet.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -4,10 +4,13 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+import anyio
+import msgspec
 import pytest
+from msgspec import to_builtins
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import ColdStartLimiter, WindowedRetryBudget
-from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay
+from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay, StoredRow
 
 from tamarackway_entry.fleet import (
     FleetRegistry,
@@ -296,3 +299,50 @@
 ) -> None:
     found = select_instances(members, 'east', 64)
     assert [member.name for member in found] == names
+
+
+# Guards against rows that end an instance, or keep it from its peers.
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'{}',
+        b'[' * 100_000,
+        b'\xff',
+        msgspec.json.encode({**to_builtins(build_member('e9')), 'peers': 'x'}),
+        msgspec.json.encode({
+            **to_builtins(build_member('e9')),
+            'callers': '127.0.0.1:70000',
+        }),
+    ],
+    ids=['no text', 'empty', 'nested', 'bytes', 'peers', 'callers'],
+)
+def test_odd_row_hides_no_other_instance(content: bytes) -> None:
+    store = FakeStore()
+    sound = build_member('e2')
+    store.rows = [
+        StoredRow('peer-key', b'secret', 1),
+        StoredRow('instance/e9', content, 2),
+        StoredRow('instance/e2', msgspec.json.encode(sound), 3),
+    ]
+    registry = FleetRegistry(store, random.Random(1))
+    registration = anyio.run(registry.register, build_member('e1'))
+    assert registration.members == (sound,)
+
+
+@pytest.mark.parametrize('secret', [b'', b'\xff\xfe', None])
+def test_registration_is_retried_without_a_usable_secret(
+    secret: bytes | None,
+) -> None:
+    store = FakeStore()
+    if secret is not None:
+        store.rows = [StoredRow('peer-key', secret, 1)]
+    registry = FleetRegistry(store, random.Random(1))
+
+    async def register() -> bool:
+        with anyio.move_on_after(0.5) as scope:
+            await registry.register(build_member('e1'))
+        return scope.cancelled_caught
+
+    assert anyio.run(register)
+    assert store.calls > 1
