Pass over idle connections with unread bytes

A target may write to an idle connection, for example an earlier refusal once more, or close it. Either was noticed once the event loop had read it. A request that came in the same turn of the loop was still sent on the connection, and the bytes that lay in the receive buffer were parsed as its response.

A pool now asks the kernel whether bytes or the end of the stream wait before it hands out a connection, or takes one back. No await lies between that and the first byte of the request.

--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from typing import Final
@@ -45,8 +46,16 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection can carry a request."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Whether the connection can carry a request.
+
+        Bytes that have arrived but are not read yet would be taken for a
+        response to it, and the end of the stream is only noticed once read.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        opened: socket.socket | None = transport.get_extra_info('socket')
+        return opened is None or not _has_unread(opened)
 
     async def exchange(
         self, request: bytes, matches: MatchCallback
@@ -146,6 +155,12 @@
         self.close()
 
 
+def _has_unread(opened: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(opened, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 async def connect(address: Address) -> Connection:
     """Return a new connection.
 
--- a/packages/entry/src/tamarackway_entry/upstream/_pool.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_pool.py
@@ -30,6 +30,7 @@
                 return None
             if connection.is_open:
                 return connection
+            connection.close()
         return None
 
     def release(self, connection: Connection, now_s: float) -> None:
