Use a new connection for a request that a target refused

What callers saw: an unsafe request that a target had refused was sent again with its identifier. The target wrote the refusal once more on the kept connection and ran the request. The caller was told 503, a promise that it had not run; or the request ran at a second target too.

Cause: a response is matched by the identifier of its request alone, and a request that is sent again shares that with its first sending. So a refusal on a reused connection proves nothing about a request that the target had refused on it before.

Each target's connections now know which requests it refused. Such a request gets a new connection, on which no earlier response can come. It holds for all connections of an instance to the target, not only for the one that carried the refusal.

A target's connections are retired as a whole also once one fails or its target is removed: one in use at that moment was left open in no pool until then, now it is closed when its response is complete.

What remains: a refusal that came through one instance and is repeated on the connection of another instance, to which the caller sends the same identifier, passes for the response there.

--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -10,6 +10,7 @@
 from tamarackway_core.steering import Candidate, TargetRecord
 
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
+from tamarackway_entry.forwarding._connections import TargetConnections
 from tamarackway_entry.forwarding._model import ForwardRequest
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
@@ -17,7 +18,6 @@
 from tamarackway_entry.upstream import (
     Connection,
     ConnectionLostError,
-    IdleConnectionPool,
     InvalidResponseError,
     NotSentError,
     Response,
@@ -117,7 +117,7 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        self._pools: dict[str, IdleConnectionPool] = {}
+        self._connections: dict[str, TargetConnections] = {}
         self._max_idle_s: dict[str, float] = {}
         self._pending_checks: deque[_PendingCheck] = deque(
             maxlen=_MAX_PENDING_CHECKS
@@ -186,8 +186,8 @@
 
         :param names: names of targets that still exist.
         """
-        for name in self._pools.keys() - names:
-            self._pools.pop(name).close()
+        for name in self._connections.keys() - names:
+            self._connections.pop(name).retire()
 
     async def _check(self, check: _PendingCheck) -> None:
         candidate = check.candidate
@@ -218,10 +218,12 @@
         at_most_once: bool,
     ) -> AttemptResult:
         name = candidate.record.name
-        pool = self._pools.setdefault(name, IdleConnectionPool())
+        connections = self._find_connections(name)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
         max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
-        connection = pool.acquire(max_idle_s, self._clock.now_s())
+        connection = connections.acquire(
+            request.request_id, max_idle_s, self._clock.now_s()
+        )
         if connection is None:
             connection = await self._connect(candidate)
             if not self._state.catalogue.is_usable(name):
@@ -241,8 +243,18 @@
         except BaseException:
             connection.close()
             raise
-        pool.release(connection, self._clock.now_s())
-        return self._evaluate_response(candidate, response)
+        attempt = self._evaluate_response(candidate, response)
+        if attempt.outcome == AttemptOutcome.REFUSED:
+            connections.record_refusal(request.request_id)
+        connections.release(connection, self._clock.now_s())
+        return attempt
+
+    def _find_connections(self, name: str) -> TargetConnections:
+        connections = self._connections.get(name)
+        if connections is None or connections.is_retired:
+            connections = TargetConnections()
+            self._connections[name] = connections
+        return connections
 
     def _matches_request(
         self,
@@ -338,7 +350,7 @@
             run_s = max(now_s - started_s - round_trip_s, 0)
             self._record_run_time(candidate, run_s, now_s)
             return
-        self._pools.pop(candidate.record.name, IdleConnectionPool()).close()
+        self._find_connections(candidate.record.name).retire()
         if attempt.outcome == AttemptOutcome.NOT_SENT:
             ejection_s = stats.record_failure(now_s)
             _log.warning(
