Take no response with an uncertain end for a whole one

What callers saw: a target sent an informational head and closed before the final one. The caller got the status 103 as the response, or, after "100 Continue", nothing until its own time-out. A body with the transfer coding "gzip, chunked" was delivered with 200, still compressed and without its header.

Cause: the reader kept "headers complete" from the informational response, so that the end of the stream ended "its body". Which codings it can undo was never checked: the parser reports the end of the chunks for any coding that comes before them. The class is an end that is inferred from what was not said.

Now the end of the stream ends only a final response, and "chunked" alone is an accepted coding. Statuses above 599, which mean nothing, are invalid too.

--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -15,7 +15,10 @@
 # Less than a third of the memory of the smallest instance.
 _BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
 _FIRST_FINAL_STATUS: Final = 200
-_FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
+_MAX_STATUS: Final = 599
+_TRANSFER_CODING: Final = b'transfer-encoding'
+_CHUNKED: Final = b'chunked'
+_FRAMING: Final = frozenset((b'content-length', _TRANSFER_CODING))
 _BODILESS: Final = frozenset((204, 304))
 _INVALID_RESPONSE: Final = (
     httptools.HttpParserError,
@@ -116,8 +119,20 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record the end of the headers; called by the parser."""
+        """Check the end of the headers; called by the parser.
+
+        :raises InvalidResponseError: if the body cannot be decoded for certain.
+        """
         self._headers_complete = True
+        codings = [
+            value.lower()
+            for name, value in self._headers
+            if name == _TRANSFER_CODING
+        ]
+        if codings and codings != [_CHUNKED]:
+            raise InvalidResponseError('the transfer coding is not chunked')
+        if self._parser.get_status_code() > _MAX_STATUS:
+            raise InvalidResponseError('the status is not defined')
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body; called by the parser."""
@@ -133,6 +148,8 @@
         return Response(status, tuple(self._headers), bytes(self._body))
 
     def _is_framed(self) -> bool:
-        if self._parser.get_status_code() in _BODILESS:
+        status = self._parser.get_status_code()
+        # The end of the stream after an informational response ends nothing.
+        if status < _FIRST_FINAL_STATUS or status in _BODILESS:
             return True
         return any(name in _FRAMING for name, _ in self._headers)
