Do not merge trailers into the headers of a response

What callers saw: a target answered 200 in chunks, with "Not-Executed: 1" as a trailer. The caller was told 503, a promise that the request had not run.

Cause: the parser reports trailers with the same callback as headers, and the reader added them. So a trailer could deny that a request ran, name another request, or set a rate limit or load, after the head had said otherwise.

Trailers are now dropped (RFC 9110, 6.5.1: they are merged only where their definition allows it, and none of these does).

--- a/packages/entry/src/tamarackway_entry/tests/test_response_framing.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_response_framing.py
@@ -190,3 +190,12 @@
                 await exchange(parts, None)
 
     asyncio.run(run())
+
+
+# Guards against a trailer that passes for a header, such as one that says that
+# the request did not run.
+def test_trailers_are_no_headers() -> None:
+    stream = HEAD + CHUNKED + CHUNKS.replace(b'id: other', b'refused: 1')
+    response = asyncio.run(exchange((stream,), None))
+    assert response.body == b'ok'
+    assert response.find(b'refused') is None
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -115,8 +115,9 @@
         self._headers_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; called by the parser."""
-        self._headers.append((name.lower(), value))
+        """Add a header, but no trailer; called by the parser."""
+        if not self._headers_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the end of the headers; called by the parser.
