Bound the numbers in headers of callers on the earlier interface

The same cause as for the platform's headers, found by looking for it: "²" passes str.isdigit() and int() of 5,000 digits raises ValueError, so that an attempt number, a length, a deadline or a base version of that kind raised out of the handler. They are refused as malformed now, like any other odd text.

The deadline and the base version share the parser and have no test of their own for it.

--- a/packages/entry/src/tamarackway_entry/admin/_app.py
+++ b/packages/entry/src/tamarackway_entry/admin/_app.py
@@ -14,6 +14,7 @@
     SheetError,
     TamarackwayError,
 )
+from tamarackway_core.numbers import parse_integer
 from tamarackway_core.sheet import parse_sheet
 from tamarackway_core.wire import ExplainReply, ExplainRequest, Message
 
@@ -31,6 +32,7 @@
 from tamarackway_entry.telemetry import Metrics, component_logger
 
 _MAX_SHEET_BYTES: Final = 4_194_304
+_MAX_VERSION: Final = 1_000_000_000_000
 _log = component_logger('admin')
 _Endpoint = Callable[[Request], Awaitable[Response]]
 
@@ -134,7 +136,8 @@
         if isinstance(sheet, Response):
             return sheet
         base = request.query_params.get('base_version')
-        if base is not None and not base.isdigit():
+        version = parse_integer(base or '', maximum=_MAX_VERSION)
+        if base is not None and version is None:
             return _problem_response(
                 HTTPStatus.BAD_REQUEST,
                 'malformed',
@@ -144,7 +147,7 @@
         return await self._submit(
             sheet,
             request.state.operator,
-            int(base) if base else None,
+            version,
         )
 
     async def show_history(self, _request: Request) -> Response:
--- a/packages/entry/src/tamarackway_entry/callers/_parse.py
+++ b/packages/entry/src/tamarackway_entry/callers/_parse.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from tamarackway_core.errors import Reason, Refusal
+from tamarackway_core.numbers import parse_integer
 from tamarackway_core.once import digest_request
 from tamarackway_core.sheet import PlanRules, ServiceRule
 
@@ -19,6 +20,7 @@
 _MAX_ATTEMPT: Final = 1_000_000
 _DEADLINE_HEADER: Final = 'x-request-deadline-ms'
 _REGION_HEADER: Final = 'x-tamarackway-region'
+_MAX_TIMEOUT_MS: Final = 1_000_000_000_000
 _MS_PER_S: Final = 1000
 _MAX_NAME_LENGTH: Final = 64
 _STRIPPED_HEADERS: Final = frozenset((
@@ -146,10 +148,11 @@
         text = headers.get(_DEADLINE_HEADER)
         allowed_s = rule.deadline_s
         if text is not None:
-            if not text.isdigit() or not int(text):
+            timeout_ms = parse_integer(text, maximum=_MAX_TIMEOUT_MS)
+            if not timeout_ms:
                 problem = f'{_DEADLINE_HEADER} must be a positive integer'
                 return Refusal(Reason.MALFORMED, problem)
-            allowed_s = min(allowed_s, int(text) / _MS_PER_S)
+            allowed_s = min(allowed_s, timeout_ms / _MS_PER_S)
         return self._clock.now_s() + allowed_s
 
 
@@ -161,10 +164,11 @@
     text = headers.get(ATTEMPT_HEADER)
     if text is None:
         return None
-    if not text.isdigit() or not 0 < int(text) <= _MAX_ATTEMPT:
+    attempt = parse_integer(text, maximum=_MAX_ATTEMPT)
+    if not attempt:
         problem = f'{ATTEMPT_HEADER} must be a positive integer'
         return Refusal(Reason.MALFORMED, problem)
-    return int(text)
+    return attempt
 
 
 async def read_body(
@@ -183,7 +187,7 @@
         f'the body is larger than {max_bytes} bytes',
     )
     declared = headers.get('content-length', '0')
-    if not declared.isdigit() or int(declared) > max_bytes:
+    if parse_integer(declared, maximum=max_bytes) is None:
         return too_large
     body = bytearray()
     has_more = True
