Accept decimal numbers with an exponent

Formatters write 0.00001 as 1e-05. A rate limit of that form was a number before the bounds at the decoders came and would have been ignored since, as if the target set no limit.

--- a/packages/core/src/tamarackway_core/numbers/_parsers.py
+++ b/packages/core/src/tamarackway_core/numbers/_parsers.py
@@ -5,7 +5,8 @@
 
 _MAX_DIGITS: Final = 19  # of a 64-bit integer
 _INTEGER: Final = re.compile(rb'\d+')
-_DECIMAL: Final = re.compile(rb'\d+(?:\.\d+)?')
+# Common formatters write small and large numbers with an exponent.
+_DECIMAL: Final = re.compile(rb'\d+(?:\.\d+)?(?:e[+-]?\d{1,3})?')
 
 
 def parse_integer(text: bytes | str, maximum: int) -> int | None:
@@ -30,12 +31,14 @@
 def parse_decimal(text: bytes | str, maximum: float) -> float | None:
     """Return a decimal number, or None if the text is none.
 
-    :param text: ASCII digits with an optional fraction, between optional
-        white space.
+    :param text: ASCII digits with an optional fraction and exponent, between
+        optional white space.
     :param maximum: largest number; larger ones count as malformed.
 
     >>> parse_decimal(b'2.5', maximum=10)
     2.5
+    >>> parse_decimal(b'5e-05', maximum=10)
+    5e-05
     >>> parse_decimal('nan', maximum=10) is None
     True
     """
