--- a/packages/core/src/tamarackway_core/numbers/_parsers.py
+++ b/packages/core/src/tamarackway_core/numbers/_parsers.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 _MAX_DIGITS: Final = 19  # of a 64-bit integer
-_INTEGER: Final = re.compile(rb'\d+')
 # Common formatters write small and large numbers with an exponent.
 _DECIMAL: Final = re.compile(rb'\d+(?:\.\d+)?(?:e[+-]?\d{1,3})?')
 
@@ -21,8 +20,8 @@
     True
     """
     digits = _to_ascii(text)
-    is_short = len(digits) <= _MAX_DIGITS
-    if not is_short or not _INTEGER.fullmatch(digits):
+    # Unlike those of texts, the digits of bytes are ASCII digits only.
+    if not digits.isdigit() or len(digits) > _MAX_DIGITS:
         return None
     integer = int(digits)
     return integer if integer <= maximum else None
