Reject responses whose status is out of range

A caller on a kept connection lost it without an answer when the target's response had a status of 600 or above: the request had been passed on and had run. With a status below 100 it waited for the whole timeout.

Cause: the response parser accepts any three digits, the HTTP server has status lines for 100 to 599 only. It raised KeyError after it had noted the start of the response, so all that was left was to close the connection. A status below 100 counted as informational.

Such a response is now invalid, as any other that is not HTTP: the caller gets 502.

--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -191,6 +191,8 @@
         ((), True, False, ConnectionLostError),
         ((OTHER,), False, True, ConnectionLostError),
         ((b'\x00\x01\x02',), False, False, InvalidResponseError),
+        ((OWN.replace(b'200', b'600'),), False, False, InvalidResponseError),
+        ((OWN.replace(b'200', b'099'),), False, False, InvalidResponseError),
         (
             (b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n',),
             True,
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -14,6 +14,8 @@
 _MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_HEAD_BYTES
 # Less than a third of the memory of the smallest instance.
 _BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
+_FIRST_STATUS: Final = 100
+_LAST_STATUS: Final = 599
 _FIRST_FINAL_STATUS: Final = 200
 _FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS: Final = frozenset((204, 304))
@@ -116,7 +118,14 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record the end of the headers; called by the parser."""
+        """Record the end of the headers; called by the parser.
+
+        :raises InvalidResponseError: if the status is not one of HTTP, which
+            the HTTP server could not pass on.
+        """
+        status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            raise InvalidResponseError('the status is out of range')
         self._headers_complete = True
 
     def on_body(self, body: bytes) -> None:
