Take a target out of the service that it ran before

If a target registered again under its name for another service, the old service's list of usable targets kept its earlier record until another target of that service changed. Requests were sent to it although it had left that service, or had begun to leave as a target of the new one.

The lists are caches by service, and only that of the new service was discarded. Now both are.

test_target_that_changes_its_service_leaves_the_old_one failed in 2 of 2 cases before. Found by reading; no run of processes has shown it.

--- a/packages/core/src/tamarackway_core/steering/_catalogue.py
+++ b/packages/core/src/tamarackway_core/steering/_catalogue.py
@@ -59,6 +59,8 @@
         self._records[record.name] = record
         self._cold_until_s[record.name] = now_s + record.cold_left_s
         self._expired_since_s.pop(record.name, None)
+        if known is not None:
+            self._usable.pop(known.service, None)
         self._usable.pop(record.service, None)
 
     def remove(self, name: str) -> None:
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -1,5 +1,6 @@
 """Tests of the routing of single requests."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -374,3 +375,21 @@
             assert not limited
         else:
             assert second - first == pytest.approx(step_s)
+
+
+# Guards against requests to a leaving target through the list of the service
+# that it ran before.
+@pytest.mark.parametrize('leaving', [False, True])
+def test_target_that_changes_its_service_leaves_the_old_one(
+    *, leaving: bool
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t'), 0)
+    assert catalogue.list_usable('s').targets
+    moved = dataclasses.replace(make_target('t', sequence=2), service='other')
+    catalogue.put(moved, 1)
+    if leaving:
+        left = dataclasses.replace(moved, sequence=3, leaving=True)
+        catalogue.put(left, 2)
+    assert not catalogue.list_usable('s').targets
+    assert len(catalogue.list_usable('other').targets) == (not leaving)
