Know a target whose clock was set back before it started again

A target that starts again under its name with an older time of start was known by its earlier incarnation's row until it was removed. Every later row of it was ignored, that it is leaving included, so all instances sent requests to it for as long as it still served.

Records are ordered by incarnation, since a late write of an earlier process must not replace a running one. Which of the two wrote is not in the row, but a running target writes again within its heartbeat. So an older record waits for 1.8 s and is adopted if the newer incarnation does not write meanwhile; what the older one writes in that time counts. A target that starts and leaves within 2 s is then still known as leaving in time.

test_target_with_an_older_incarnation_is_known_before_it_may_leave failed in 3 of 3 cases before. No run of processes has shown it.

--- a/packages/core/src/tamarackway_core/steering/_catalogue.py
+++ b/packages/core/src/tamarackway_core/steering/_catalogue.py
@@ -1,12 +1,24 @@
 """Registry of known targets and of those that accept new requests."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from tamarackway_core.steering._model import TargetRecord
 from tamarackway_core.steering._ranking import TargetRanking
 
 _EXPIRY_GRACE_S: Final = 2.5  # live targets register again within 2 s
+# A running target replaces a late record of an earlier incarnation in less
+# time, and a leaving one must be known as such within 2 s.
+_RESTART_GRACE_S: Final = 1.8
+
+
+@dataclass(frozen=True, slots=True)
+class _OlderRecord:
+    """Newest record of an older incarnation, known since its first record."""
+
+    record: TargetRecord
+    since_s: float
 
 
 class Catalogue:
@@ -22,6 +34,7 @@
         self._records: dict[str, TargetRecord] = {}
         self._cold_until_s: dict[str, float] = {}
         self._expired_since_s: dict[str, float] = {}
+        self._older: dict[str, _OlderRecord] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._usable: dict[str, TargetRanking] = {}
 
@@ -52,16 +65,34 @@
 
         :param record: description of the target, as published by itself.
         :param now_s: monotonic time in seconds.
+
+        A record of an older incarnation is kept for
+        :meth:`adopt_restarted`.
         """
         known = self._records.get(record.name)
         if known is not None and _version(known) > _version(record):
+            if known.incarnation > record.incarnation:
+                self._keep_older(record, now_s)
             return
-        self._records[record.name] = record
-        self._cold_until_s[record.name] = now_s + record.cold_left_s
-        self._expired_since_s.pop(record.name, None)
-        if known is not None:
-            self._usable.pop(known.service, None)
-        self._usable.pop(record.service, None)
+        self._replace(record, now_s)
+
+    def adopt_restarted(self, now_s: float) -> list[str]:
+        """Adopt older incarnations that were not replaced, return their names.
+
+        :param now_s: monotonic time in seconds.
+
+        A record of an older incarnation may have been written late, or by a
+        target whose clock was set back before it started again. In the first
+        case, the running target soon replaces it.
+        """
+        adopted = [
+            older
+            for older in self._older.values()
+            if now_s - older.since_s >= _RESTART_GRACE_S
+        ]
+        for older in adopted:
+            self._replace(older.record, now_s)
+        return [older.record.name for older in adopted]
 
     def remove(self, name: str) -> None:
         """Remove a target.
@@ -69,6 +100,7 @@
         :param name: name of the target.
         """
         record = self._records.pop(name, None)
+        self._older.pop(name, None)
         self._cold_until_s.pop(name, None)
         self._expired_since_s.pop(name, None)
         if record is not None:
@@ -160,6 +192,22 @@
             self._usable[service] = ranking
         return ranking
 
+    def _replace(self, record: TargetRecord, now_s: float) -> None:
+        known = self._records.get(record.name, record)
+        self._records[record.name] = record
+        self._older.pop(record.name, None)
+        self._cold_until_s[record.name] = now_s + record.cold_left_s
+        self._expired_since_s.pop(record.name, None)
+        self._usable.pop(known.service, None)
+        self._usable.pop(record.service, None)
+
+    def _keep_older(self, record: TargetRecord, now_s: float) -> None:
+        older = self._older.get(record.name)
+        if older is None or older.record.incarnation != record.incarnation:
+            self._older[record.name] = _OlderRecord(record, now_s)
+        elif older.record.sequence <= record.sequence:
+            self._older[record.name] = _OlderRecord(record, older.since_s)
+
     def _accepts_requests(self, record: TargetRecord) -> bool:
         evacuated = record.place.failure_domain in self._evacuated
         return not record.leaving and not evacuated
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -393,3 +393,37 @@
         catalogue.put(left, 2)
     assert not catalogue.list_usable('s').targets
     assert len(catalogue.list_usable('other').targets) == (not leaving)
+
+
+# Guards against requests to a leaving target whose clock was set back before
+# it started again under its name.
+@pytest.mark.parametrize('registered_s', [0, 1.0, 1.9])
+def test_target_with_an_older_incarnation_is_known_before_it_may_leave(
+    registered_s: float,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t', incarnation=5, sequence=70), 0)
+    again = make_target('t', incarnation=4)
+    catalogue.put(again, 10)
+    leaving = dataclasses.replace(again, sequence=2, leaving=True)
+    catalogue.put(leaving, 10 + registered_s)
+    catalogue.adopt_restarted(12)
+    assert catalogue.find('t') == leaving
+    assert not catalogue.is_usable('t')
+    assert not catalogue.list_usable('s').targets
+
+
+# A late write of an earlier incarnation does not replace a running one.
+def test_late_record_of_an_earlier_incarnation_is_ignored() -> None:
+    catalogue = Catalogue()
+    running = make_target('t', incarnation=5)
+    catalogue.put(running, 0)
+    catalogue.put(make_target('t', incarnation=4, leaving=True), 10)
+    again = dataclasses.replace(running, sequence=2)
+    catalogue.put(again, 11.5)
+    catalogue.adopt_restarted(13)
+    assert catalogue.find('t') == again
+    catalogue.put(make_target('t', incarnation=4, leaving=True), 20)
+    catalogue.remove('t')
+    catalogue.adopt_restarted(30)
+    assert catalogue.find('t') is None
--- a/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
@@ -100,6 +100,15 @@
         )
 
     def remove_expired(self) -> None:
-        """Remove expired targets whose grace period is over."""
-        for name in self._state.catalogue.remove_expired(self._clock.now_s()):
+        """Remove expired targets, and adopt targets that were restarted."""
+        catalogue = self._state.catalogue
+        now_s = self._clock.now_s()
+        for name in catalogue.remove_expired(now_s):
             _log.info('Target %s expired and did not register again.', name)
+        for name in catalogue.adopt_restarted(now_s):
+            record = catalogue.find(name)
+            _log.info(
+                'Target %s was restarted with an older clock: leaving=%s.',
+                name,
+                record is not None and record.leaving,
+            )
