Compare the whole target before a request is sent to it

A target was looked up once more by its name alone when a new connection to it was open. If it had been restarted elsewhere or moved to another service meanwhile, the request went to the earlier address or for the earlier service.

The record chosen and the record known now must agree in incarnation, service and address. On a kept connection nothing happens between choice and sending, so there is no second look there.

test_request_is_withdrawn_if_target_changes_during_connect failed in 3 of 4 cases before, as intended. Found by reading; no run of processes has shown it.

--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -45,7 +45,8 @@
 
     A refused request was sent, but the target did not run it. A lost one was
     sent without a valid response, so that the target may have run it. A
-    withdrawn one was not sent, since the target began to leave meanwhile.
+    withdrawn one was not sent, since the target began to leave or was
+    restarted meanwhile.
     """
 
     ANSWERED = 'answered'
@@ -224,10 +225,11 @@
         connection = pool.acquire(max_idle_s, self._clock.now_s())
         if connection is None:
             connection = await self._connect(candidate)
-            if not self._state.catalogue.is_usable(name):
+            if not self._is_current(candidate.record):
                 connection.close()
                 return AttemptResult(
-                    AttemptOutcome.WITHDRAWN, error='the target is leaving'
+                    AttemptOutcome.WITHDRAWN,
+                    error='the target is leaving or was restarted',
                 )
         try:
             response = await connection.exchange(
@@ -244,6 +246,18 @@
         pool.release(connection, self._clock.now_s())
         return self._evaluate_response(candidate, response)
 
+    def _is_current(self, record: TargetRecord) -> bool:
+        """Return whether a target still accepts requests as it was chosen."""
+        catalogue = self._state.catalogue
+        known = catalogue.find(record.name)
+        return (
+            known is not None
+            and known.incarnation == record.incarnation
+            and known.service == record.service
+            and known.address == record.address
+            and catalogue.is_usable(record.name)
+        )
+
     def _matches_request(
         self,
         response: Response,
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import pytest
@@ -217,6 +218,30 @@
     assert not environment.build_candidate().stats.is_ejected(now_s)
 
 
+# Guards against requests to the earlier address of a target that was restarted
+# or moved to another service while the connection was opened.
+@pytest.mark.parametrize(
+    ('change', 'withdrawn'),
+    [
+        ({'incarnation': 2}, True),
+        ({'address': Address('127.0.0.1', 81)}, True),
+        ({'service': 'other'}, True),
+        ({}, False),
+    ],
+)
+def test_request_is_withdrawn_if_target_changes_during_connect(
+    environment: Environment, change: dict[str, Any], *, withdrawn: bool
+) -> None:
+    def publish() -> None:
+        record = dataclasses.replace(RECORD, sequence=1, **change)
+        catalogue = environment.state.catalogue
+        catalogue.put(record, environment.clock.now_s())
+
+    environment.on_connect = publish
+    attempt = environment.send()
+    assert (attempt.outcome == AttemptOutcome.WITHDRAWN) is withdrawn
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
