Keep connections for one incarnation of a target

Idle connections were kept by the name of a target alone. When it registered again with a newer incarnation or another address, a request could still be sent over a connection to its earlier process. Connections that a request returned after their pool had been dropped were never closed.

test_connection_is_kept_for_one_incarnation_and_address failed in 2 of 3 cases before, as intended. Found by reading; no run of processes has shown it.

--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import anyio
+from tamarackway_core.places import Address
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import Candidate, TargetRecord
 
@@ -100,6 +101,22 @@
     loss: Loss
 
 
+@dataclass(frozen=True, slots=True)
+class _TargetPool:
+    """Idle connections to one incarnation of a target."""
+
+    incarnation: int
+    address: Address
+    idle: IdleConnectionPool
+
+    def belongs_to(self, record: TargetRecord) -> bool:
+        """Return whether the connections lead to a target."""
+        return (self.incarnation, self.address) == (
+            record.incarnation,
+            record.address,
+        )
+
+
 class TargetSender:
     """Sends requests to targets over pooled connections.
 
@@ -118,7 +135,7 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        self._pools: dict[str, IdleConnectionPool] = {}
+        self._pools: dict[str, _TargetPool] = {}
         self._max_idle_s: dict[str, float] = {}
         self._pending_checks: deque[_PendingCheck] = deque(
             maxlen=_MAX_PENDING_CHECKS
@@ -188,7 +205,7 @@
         :param names: names of targets that still exist.
         """
         for name in self._pools.keys() - names:
-            self._pools.pop(name).close()
+            self._close_pool(name)
 
     async def _check(self, check: _PendingCheck) -> None:
         candidate = check.candidate
@@ -219,7 +236,7 @@
         at_most_once: bool,
     ) -> AttemptResult:
         name = candidate.record.name
-        pool = self._pools.setdefault(name, IdleConnectionPool())
+        pool = self._find_pool(candidate.record)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
         max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
         connection = pool.acquire(max_idle_s, self._clock.now_s())
@@ -243,9 +260,31 @@
         except BaseException:
             connection.close()
             raise
+        known = self._pools.get(name)
+        if known is None or known.idle is not pool:
+            connection.close()
         pool.release(connection, self._clock.now_s())
         return self._evaluate_response(candidate, response)
 
+    def _find_pool(self, record: TargetRecord) -> IdleConnectionPool:
+        """Return the connections to a target, closing those to an earlier one.
+
+        :param record: the target.
+        """
+        known = self._pools.get(record.name)
+        if known is None or not known.belongs_to(record):
+            self._close_pool(record.name)
+            known = _TargetPool(
+                record.incarnation, record.address, IdleConnectionPool()
+            )
+            self._pools[record.name] = known
+        return known.idle
+
+    def _close_pool(self, name: str) -> None:
+        known = self._pools.pop(name, None)
+        if known is not None:
+            known.idle.close()
+
     def _is_current(self, record: TargetRecord) -> bool:
         """Return whether a target still accepts requests as it was chosen."""
         catalogue = self._state.catalogue
@@ -352,7 +391,7 @@
             run_s = max(now_s - started_s - round_trip_s, 0)
             self._record_run_time(candidate, run_s, now_s)
             return
-        self._pools.pop(candidate.record.name, IdleConnectionPool()).close()
+        self._close_pool(candidate.record.name)
         if attempt.outcome == AttemptOutcome.NOT_SENT:
             ejection_s = stats.record_failure(now_s)
             _log.warning(
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -99,6 +99,7 @@
         policy = ServicePolicy('s', cold_s=3, cold_per_s=5)
         self.state.configure(Configuration(1, services={'s': policy}))
         self.state.catalogue.put(RECORD, self.clock.now_s())
+        self.record = RECORD
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
         self.on_connect: Callable[[], None] = lambda: None
@@ -119,9 +120,11 @@
         return FakeConnection(self.outcome)
 
     def build_candidate(self) -> Candidate:
-        stats = self.state.target_stats.find('t', 1, self.clock.now_s())
+        stats = self.state.target_stats.find(
+            't', self.record.incarnation, self.clock.now_s()
+        )
         return Candidate(
-            RECORD,
+            self.record,
             stats,
             cost_s=0,
             warm=False,
@@ -242,6 +245,30 @@
     assert (attempt.outcome == AttemptOutcome.WITHDRAWN) is withdrawn
 
 
+# Guards against requests to the earlier process of a restarted target over a
+# connection that was kept to it.
+@pytest.mark.parametrize(
+    ('change', 'connects'),
+    [
+        ({'incarnation': 2}, 2),
+        ({'address': Address('127.0.0.1', 81)}, 2),
+        ({'sequence': 2}, 1),
+    ],
+)
+def test_connection_is_kept_for_one_incarnation_and_address(
+    environment: Environment, change: dict[str, Any], connects: int
+) -> None:
+    addresses: list[int] = []
+    environment.on_connect = lambda: addresses.append(len(addresses))
+    environment.send()
+    environment.record = dataclasses.replace(RECORD, **change)
+    environment.state.catalogue.put(
+        environment.record, environment.clock.now_s()
+    )
+    assert environment.send().outcome == AttemptOutcome.ANSWERED
+    assert len(addresses) == connects
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
