--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -289,12 +289,14 @@
         """Return whether a target still accepts requests as it was chosen."""
         catalogue = self._state.catalogue
         known = catalogue.find(record.name)
+        if known is None or not catalogue.is_usable(record.name):
+            return False
+        is_same_process = known.incarnation == record.incarnation
+        is_same_server = known.address == record.address
         return (
-            known is not None
-            and known.incarnation == record.incarnation
+            is_same_process
+            and is_same_server
             and known.service == record.service
-            and known.address == record.address
-            and catalogue.is_usable(record.name)
         )
 
     def _matches_request(
