Send nothing to a target that says in its responses that it leaves

Targets that leave say so in all their responses with a header. It was not read: a target whose row still said that it is ready got requests without end, as did all targets of a service that is being shut down.

The header is decoded whatever the status, but for 421, which another target at that address sends. The catalogue keeps what a target said for its incarnation, without an end: its row may be rewritten or be removed and come back, and no request asks it again. A newer incarnation is not affected. The last 4,096 are kept. Heartbeats tell peers for 5 s; the field has a default, so instances of the release before read them.

--- a/packages/core/src/tamarackway_core/steering/__init__.py
+++ b/packages/core/src/tamarackway_core/steering/__init__.py
@@ -7,6 +7,7 @@
 from tamarackway_core.steering._demand import DemandTracker as DemandTracker
 from tamarackway_core.steering._model import CallerLimits as CallerLimits
 from tamarackway_core.steering._model import Configuration as Configuration
+from tamarackway_core.steering._model import LeavingTarget as LeavingTarget
 from tamarackway_core.steering._model import LoadReport as LoadReport
 from tamarackway_core.steering._model import Route as Route
 from tamarackway_core.steering._model import ServicePolicy as ServicePolicy
--- a/packages/core/src/tamarackway_core/steering/_catalogue.py
+++ b/packages/core/src/tamarackway_core/steering/_catalogue.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from tamarackway_core.steering._model import TargetRecord
+from tamarackway_core.steering._departures import DepartureRegistry
+from tamarackway_core.steering._model import LeavingTarget, TargetRecord
 from tamarackway_core.steering._ranking import TargetRanking
 
 _EXPIRY_GRACE_S: Final = 2.5  # live targets register again within 2 s
@@ -25,12 +26,15 @@
     """Known targets, and the usable ones of each service.
 
     A target is usable unless it is leaving or its failure domain is
-    evacuated. It is cold for some time after its start or its return: its
+    evacuated. It is leaving if its record says so, or if it has said so itself
+    in a response: then no later record of the same incarnation makes it usable
+    again. It is cold for some time after its start or its return: its
     caches may be empty, and the rate of requests to it is limited.
     """
 
     def __init__(self) -> None:
         """Start without targets."""
+        self.departures = DepartureRegistry()
         self._records: dict[str, TargetRecord] = {}
         self._cold_until_s: dict[str, float] = {}
         self._expired_since_s: dict[str, float] = {}
@@ -94,6 +98,28 @@
             self._replace(older.record, now_s)
         return [older.record.name for older in adopted]
 
+    def mark_leaving(
+        self, name: str, incarnation: int, now_s: float, *, from_peer: bool
+    ) -> bool:
+        """Record that a target says it is leaving; return whether it is news.
+
+        :param name: name of the target.
+        :param incarnation: its incarnation.
+        :param now_s: monotonic time in seconds.
+        :param from_peer: whether a peer reported it.
+
+        This holds for that incarnation, also while it is removed and
+        registered again.
+        """
+        target = LeavingTarget(name, incarnation)
+        if not self.departures.add(target, now_s, from_peer=from_peer):
+            return False
+        record = self._records.get(name)
+        if record is None or record.incarnation != incarnation:
+            return False
+        self._usable.pop(record.service, None)
+        return not record.leaving
+
     def remove(self, name: str) -> None:
         """Remove a target.
 
@@ -210,7 +236,8 @@
 
     def _accepts_requests(self, record: TargetRecord) -> bool:
         evacuated = record.place.failure_domain in self._evacuated
-        return not record.leaving and not evacuated
+        departed = self.departures.includes(record.name, record.incarnation)
+        return not (record.leaving or departed or evacuated)
 
 
 def _version(record: TargetRecord) -> tuple[int, int]:
--- a/packages/core/src/tamarackway_core/steering/_model.py
+++ b/packages/core/src/tamarackway_core/steering/_model.py
@@ -116,6 +116,18 @@
     sequence: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingTarget:
+    """A target that said in a response that it is leaving.
+
+    :param name: name of the target.
+    :param incarnation: incarnation of the target that said so.
+    """
+
+    name: str
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load of a target, as reported with a response.
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -10,6 +10,7 @@
     Catalogue,
     ColdStartLimiter,
     DemandTracker,
+    LeavingTarget,
     LoadReport,
     Route,
     RouteTable,
@@ -427,3 +428,74 @@
     catalogue.remove('t')
     catalogue.adopt_restarted(30)
     assert catalogue.find('t') is None
+
+
+# Guards against requests to a target that says in its responses that it is
+# leaving, while its row still says that it is ready.
+@pytest.mark.parametrize(
+    ('incarnation', 'sequence', 'removed', 'usable'),
+    [
+        (1, 1, False, False),
+        (1, 2, False, False),
+        (1, 2, True, False),
+        (2, 1, False, True),
+        (2, 1, True, True),
+    ],
+)
+@pytest.mark.parametrize('from_peer', [False, True])
+def test_target_that_said_it_is_leaving_stays_unused(
+    incarnation: int,
+    sequence: int,
+    *,
+    removed: bool,
+    from_peer: bool,
+    usable: bool,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t'), 0)
+    assert catalogue.list_usable('s').targets
+    assert catalogue.mark_leaving('t', 1, 1, from_peer=from_peer)
+    assert not catalogue.mark_leaving('t', 1, 2, from_peer=from_peer)
+    assert not catalogue.is_usable('t')
+    assert not catalogue.list_usable('s').targets
+    if removed:
+        catalogue.remove('t')
+    again = make_target('t', incarnation=incarnation, sequence=sequence)
+    catalogue.put(again, 3)
+    assert catalogue.is_usable('t') is usable
+    assert bool(catalogue.list_usable('s').targets) is usable
+
+
+def test_late_word_of_an_earlier_incarnation_does_not_stop_its_successor() -> (
+    None
+):
+    catalogue = Catalogue()
+    catalogue.put(make_target('t', incarnation=2), 0)
+    assert not catalogue.mark_leaving('t', 1, 1, from_peer=True)
+    assert catalogue.is_usable('t')
+    assert catalogue.mark_leaving('t', 2, 2, from_peer=False)
+    catalogue.mark_leaving('t', 0, 3, from_peer=True)
+    assert not catalogue.is_usable('t')
+
+
+def test_only_own_and_recent_departures_are_reported_to_peers() -> None:
+    catalogue = Catalogue()
+    for number in range(200):
+        catalogue.mark_leaving(f'own{number}', 1, 1, from_peer=False)
+    catalogue.mark_leaving('last', 7, 1, from_peer=False)
+    catalogue.mark_leaving('of a peer', 1, 1, from_peer=True)
+    reported = catalogue.departures.list_recent(2)
+    assert LeavingTarget('last', 7) in reported
+    assert all(target.name != 'of a peer' for target in reported)
+    assert len(reported) <= 64
+    assert not catalogue.departures.list_recent(7)
+
+
+def test_number_of_remembered_departures_is_bounded() -> None:
+    catalogue = Catalogue()
+    for number in range(5000):
+        catalogue.mark_leaving(f't{number}', 1, 1, from_peer=False)
+    for number in (0, 4999):
+        catalogue.put(make_target(f't{number}'), 2)
+    assert catalogue.is_usable('t0')
+    assert not catalogue.is_usable('t4999')
--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -3,6 +3,7 @@
 import math
 
 import cbor2
+import msgspec
 import pytest
 
 from tamarackway_core.errors import Reason, Refusal, WireError
@@ -12,6 +13,7 @@
 from tamarackway_core.places import Instance, Place, State
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
+from tamarackway_core.steering import LeavingTarget
 from tamarackway_core.wire import (
     Envelope,
     ExplainReply,
@@ -56,6 +58,7 @@
                 TargetRateLimit('t1', 2, 8.25, 0.5),
                 TargetRateLimit('t2', 2, math.inf, 0.5),
             ),
+            leaving_targets=(LeavingTarget('t1', 2),),
         ),
         Ok(),
     ],
@@ -64,6 +67,21 @@
     assert decode(encode(Envelope(7, message))) == Envelope(7, message)
 
 
+# Instances of two releases run side by side during an update.
+@pytest.mark.parametrize(
+    ('present', 'absent'), [('later', ''), ('', 'leaving_targets')]
+)
+def test_heartbeat_of_another_release_is_decoded(
+    present: str, absent: str
+) -> None:
+    beat = FleetBeat('e1', None, {}, {}, store_answers=True, rates={})
+    body = msgspec.to_builtins(beat)
+    body[present] = [{'name': 't'}]
+    body.pop(absent, None)
+    frame = cbor2.dumps([7, 'FleetBeat', body])
+    assert decode(frame) == Envelope(7, beat)
+
+
 @pytest.mark.parametrize(
     'frame',
     [
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -5,6 +5,7 @@
 
 from tamarackway_core.limits import TargetRateLimit
 from tamarackway_core.quarantine import Loss
+from tamarackway_core.steering import LeavingTarget
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,8 @@
     :param known_from: version after which the sender knows all changes by
         table, removals included.
     :param rate_limits: limits that targets named to the sender recently.
+    :param leaving_targets: targets that told the sender recently that they are
+        leaving.
     """
 
     name: str
@@ -58,6 +61,7 @@
     losses: tuple[Loss, ...] = ()
     known_from: Mapping[str, int] = field(default_factory=dict)
     rate_limits: tuple[TargetRateLimit, ...] = ()
+    leaving_targets: tuple[LeavingTarget, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tamarackway_entry/forwarding/_codec.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_codec.py
@@ -22,6 +22,7 @@
     :param total_per_s: requests per second that the target accepts from all
         instances together; infinity if it sets no limit, None if the response
         does not tell.
+    :param is_leaving: whether the target accepts no new requests.
     """
 
     not_run: bool
@@ -30,6 +31,7 @@
     load: LoadReport | None = None
     max_idle_s: float | None = None
     total_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class TargetCodec(Protocol):
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -321,6 +321,7 @@
             candidate.stats.record_load(metadata.load, self._clock.now_s())
         if not metadata.wrong_target:
             self._observe_rate_limit(candidate.record, metadata)
+            self._observe_departure(candidate.record, metadata)
         if metadata.not_run or metadata.wrong_target:
             return AttemptResult(
                 AttemptOutcome.REFUSED, response, metadata, 'not run'
@@ -352,6 +353,22 @@
                 total_per_s,
             )
 
+    def _observe_departure(
+        self, record: TargetRecord, metadata: ResponseMetadata
+    ) -> None:
+        if metadata.is_leaving and self._state.catalogue.mark_leaving(
+            record.name,
+            record.incarnation,
+            self._clock.now_s(),
+            from_peer=False,
+        ):
+            _log.info(
+                'Target %s of service %s says in a response that it is '
+                'leaving.',
+                record.name,
+                record.service,
+            )
+
     async def _connect(self, candidate: Candidate) -> Connection:
         record = candidate.record
         started_s = self._clock.now_s()
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -59,6 +59,7 @@
             losses=self._state.quarantine.list_recent(now_s),
             known_from=self._follow.known_from(),
             rate_limits=self._state.selector.rate_limiter.list_own(now_s),
+            leaving_targets=self._state.catalogue.departures.list_recent(now_s),
         )
 
     def handle_heartbeat(
@@ -66,7 +67,7 @@
         heartbeat: FleetBeat,
         member: FleetMember,
     ) -> None:
-        """Apply the progress, request rates, losses and limits of a peer."""
+        """Apply the progress, rates, losses and news of targets of a peer."""
         for table, last_change in heartbeat.positions.items():
             age_s = heartbeat.ages_s.get(table)
             if age_s is not None:
@@ -84,6 +85,10 @@
             self._state.quarantine.report(loss, now_s)
         for limit in heartbeat.rate_limits:
             self._state.selector.rate_limiter.update_from_peer(limit, now_s)
+        for target in heartbeat.leaving_targets:
+            self._state.catalogue.mark_leaving(
+                target.name, target.incarnation, now_s, from_peer=True
+            )
 
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changed rows that a peer relays."""
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_instance.py
@@ -0,0 +1,45 @@
+"""Tests of what an instance exchanges with its peers in heartbeats."""
+
+import random
+
+from tamarackway_core.places import Address, Place
+from tamarackway_core.steering import TargetRecord
+
+from tamarackway_entry.following import FollowService
+from tamarackway_entry.forwarding import SteeringBounds, SteeringState
+from tamarackway_entry.instance import EntryInstance
+from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.tests.test_fleet import build_member
+from tamarackway_entry.tests.test_following import (
+    FakeSink,
+    FakeStore,
+    ManualClock,
+)
+
+TARGET = TargetRecord(
+    't', 1, 's', Place('east', 'east-a'), Address('127.0.0.1', 80), 3
+)
+
+
+def build_instance(
+    name: str, clock: ManualClock
+) -> tuple[EntryInstance, SteeringState]:
+    state = SteeringState('east', SteeringBounds())
+    state.catalogue.put(TARGET, clock.now_s())
+    follow = FollowService(
+        ('t',), FakeStore(), FakeSink(), clock, random.Random(1)
+    )
+    own = build_member(name)
+    return EntryInstance(own, state, follow, Lifecycle(clock), clock), state
+
+
+# Guards against requests of peers to a target that has told one instance that
+# it is leaving.
+def test_peer_learns_that_a_target_is_leaving() -> None:
+    clock = ManualClock()
+    told, told_state = build_instance('i1', clock)
+    peer, peer_state = build_instance('i2', clock)
+    told_state.catalogue.mark_leaving('t', 1, clock.now_s(), from_peer=False)
+    peer.handle_heartbeat(told.build_heartbeat(), build_member('i1'))
+    assert not peer_state.catalogue.is_usable('t')
+    assert not peer.build_heartbeat().leaving_targets
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -269,6 +269,35 @@
     assert len(addresses) == connects
 
 
+@pytest.mark.parametrize(
+    ('not_run', 'wrong_target', 'usable'),
+    [(False, False, False), (True, False, False), (True, True, True)],
+)
+def test_departure_in_a_response_is_recorded(
+    environment: Environment,
+    *,
+    not_run: bool,
+    wrong_target: bool,
+    usable: bool,
+) -> None:
+    metadata = ResponseMetadata(
+        not_run=not_run,
+        wrong_target=wrong_target,
+        signed=True,
+        is_leaving=True,
+    )
+    environment.sender = TargetSender(
+        environment.state, FakeCodec(metadata), environment.clock
+    )
+    environment.send()
+    catalogue = environment.state.catalogue
+    assert catalogue.is_usable('t') is usable
+    assert (
+        bool(catalogue.departures.list_recent(environment.clock.now_s()))
+        is not usable
+    )
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
