Send nothing to a target for the time that it names with a refusal

A target that answers 503 may name with Retry-After for how long it wants nothing from this instance. The header was passed on to callers and otherwise ignored: the target got its usual share of the traffic all the while.

The selector passes over paused targets, and a request whose connection is opened meanwhile is withdrawn. Peers are not bound, so nothing is told to them.

If all targets of a service are paused, requests are refused at once. Callers are told to return after the earliest end, spread by the existing schedule at the pace of this instance's part of the slots.

The recording of what targets announce moved to a class of its own, as the sender had too many methods.

--- a/packages/core/src/tamarackway_core/limits/__init__.py
+++ b/packages/core/src/tamarackway_core/limits/__init__.py
@@ -8,6 +8,7 @@
 from tamarackway_core.limits._leases import LeaseTable as LeaseTable
 from tamarackway_core.limits._leases import floor_share as floor_share
 from tamarackway_core.limits._leases import grant as grant
+from tamarackway_core.limits._pauses import TargetPauses as TargetPauses
 from tamarackway_core.limits._return_schedule import (
     ReturnSchedule as ReturnSchedule,
 )
--- a/packages/core/src/tamarackway_core/steering/_selector.py
+++ b/packages/core/src/tamarackway_core/steering/_selector.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from tamarackway_core.limits import ReturnSchedule, TargetRateLimiter
+from tamarackway_core.limits import (
+    ReturnSchedule,
+    TargetPauses,
+    TargetRateLimiter,
+)
 from tamarackway_core.steering._catalogue import Catalogue
 from tamarackway_core.steering._cold_start import ColdStartLimiter
 from tamarackway_core.steering._demand import DemandTracker
@@ -119,6 +123,7 @@
         """Start with a round trip to the own region only."""
         self.cold_start_limiter = ColdStartLimiter()
         self.rate_limiter = TargetRateLimiter()
+        self.pauses = TargetPauses()
         self._returns = ReturnSchedule()
         self.instances = 1
         self.position = 0
@@ -178,27 +183,43 @@
     def return_delay_s(self, query: TargetQuery, now_s: float) -> float | None:
         """Return after how many seconds a refused caller should return.
 
-        Returns None if no target is at its rate limit.
+        Returns None if no target is at its rate limit or all targets wait for
+        requests until a time that they named.
 
         :param query: requirements of the refused request.
         :param now_s: monotonic time in seconds.
         """
         limiter = self.rate_limiter
-        limited = [
+        targets = [
             (record.name, record.incarnation)
             for record in self._catalogue.list_usable(query.service).targets
             if _is_allowed_region(record, query)
-            and math.isfinite(
-                limiter.total_per_s(record.name, record.incarnation)
-            )
         ]
-        if not limited:
+        pause_s = min(
+            (self.pauses.wait_s(*target, now_s) for target in targets),
+            default=0,
+        )
+        limited = [
+            target
+            for target in targets
+            if math.isfinite(limiter.total_per_s(*target))
+        ]
+        if limited:
+            wait_s = min(limiter.wait_s(*target, now_s) for target in limited)
+            rate_per_s = sum(itertools.starmap(limiter.share_per_s, limited))
+        elif pause_s > 0:
+            wait_s = pause_s
+            rate_per_s = self._pace_per_s(query)
+        else:
             return None
-        wait_s = min(limiter.wait_s(*target, now_s) for target in limited)
-        rate_per_s = sum(itertools.starmap(limiter.share_per_s, limited))
-        return self._returns.next_delay_s(
-            query.service, wait_s, rate_per_s, now_s
+        # Nobody should return before the first pause is over.
+        delay_s = self._returns.next_delay_s(
+            query.service,
+            max(wait_s - pause_s, 0),
+            rate_per_s,
+            now_s + pause_s,
         )
+        return pause_s + delay_s
 
     def record_send(self, chosen: Candidate, key: str, now_s: float) -> None:
         """Record that a request is sent to a target.
@@ -213,6 +234,7 @@
         if chosen.cold:
             self.cold_start_limiter.record(record.name, now_s)
         self.rate_limiter.record(record.name, record.incarnation, now_s)
+        self.pauses.record(record.name, record.incarnation, now_s)
 
     def _evaluate_all(
         self,
@@ -223,7 +245,8 @@
     ) -> Iterator[Candidate | None]:
         """Yield the usable targets in the preference order of the key.
 
-        Yields None for targets at their rate limit.
+        Yields None for targets at their rate limit, and for those that want
+        no requests for some time.
         """
         ranking = self._catalogue.list_usable(query.service)
         preferred = self._preferred_region(query, ranking.targets, now_s)
@@ -232,9 +255,7 @@
         ):
             if record.name in tried or not _is_allowed_region(record, query):
                 continue
-            if not self.rate_limiter.allows(
-                record.name, record.incarnation, now_s
-            ):
+            if not self._is_open(record, now_s):
                 yield None
                 continue
             candidate = self._evaluate(
@@ -243,6 +264,24 @@
             if candidate is not None:
                 yield candidate
 
+    def _is_open(self, record: TargetRecord, now_s: float) -> bool:
+        target = (record.name, record.incarnation)
+        is_paused = self.pauses.wait_s(*target, now_s) > 0
+        return not is_paused and self.rate_limiter.allows(*target, now_s)
+
+    def _pace_per_s(self, query: TargetQuery) -> float:
+        """Return the requests per second that this instance can expect to send.
+
+        :param query: requirements of the requests.
+        """
+        slots = sum(
+            record.slots
+            for record in self._catalogue.list_usable(query.service).targets
+            if _is_allowed_region(record, query)
+        )
+        run_s = self._run_times.cached_s(query.service)
+        return slots / run_s / max(self.instances, 1)
+
     def _evaluate(
         self,
         record: TargetRecord,
@@ -368,11 +407,11 @@
 ) -> list[Candidate]:
     """Return the candidates among the first targets, or the next one.
 
-    Targets at their rate limit count towards the depth. A key then moves from
-    them to the same other target each time, which can cache it.
+    Targets that may not be used now count towards the depth. A key then moves
+    from them to the same other target each time, which can cache it.
 
     :param evaluated: targets in the preference order of a key; None for those
-        at their rate limit.
+        at their rate limit or paused.
     :param depth: number of targets to consider.
     """
     candidates: list[Candidate] = []
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -499,3 +499,46 @@
         catalogue.put(make_target(f't{number}'), 2)
     assert catalogue.is_usable('t0')
     assert not catalogue.is_usable('t4999')
+
+
+@pytest.mark.parametrize('affinity_key', ['', 'k'])
+@pytest.mark.parametrize('paused', ['', 'a', 'abc', 'abcd'])
+def test_paused_targets_are_not_selected(
+    paused: str, affinity_key: str
+) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in paused:
+        selector.pauses.observe(name, 1, 3, 100)
+    query = TargetQuery('s', affinity_key)
+    for step in range(29):
+        chosen = selector.select(query, POLICY, (), 100 + step / 10)
+        assert (chosen is None) is (len(paused) == 4)
+        if chosen is not None:
+            assert chosen.record.name not in paused
+    assert selector.select(query, POLICY, (), 103) is not None
+
+
+# Callers that are refused by paused targets return after the earliest end, and
+# not all at once.
+@pytest.mark.parametrize(
+    ('paused', 'limited', 'first_s'),
+    [('abc', '', None), ('abcd', '', 3), ('abcd', 'ab', 3), ('abc', 'd', 0)],
+)
+def test_refused_callers_return_after_the_earliest_pause(
+    paused: str, limited: str, first_s: float | None
+) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in limited:
+        limit_target(selector, name, 2.0)
+    for duration_s, name in enumerate(paused, 3):
+        selector.pauses.observe(name, 1, duration_s, 100)
+    query = TargetQuery('s')
+    delays_s = [selector.return_delay_s(query, 100) for _ in range(20)]
+    if first_s is None:
+        assert delays_s == [None] * 20
+        return
+    known_s = [delay_s for delay_s in delays_s if delay_s is not None]
+    assert len(known_s) == 20
+    assert all(first_s <= delay_s <= first_s + 2 for delay_s in known_s)
+    assert known_s == sorted(known_s)
+    assert known_s[-1] > known_s[0]
--- a/packages/entry/src/tamarackway_entry/forwarding/_codec.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_codec.py
@@ -23,6 +23,8 @@
         instances together; infinity if it sets no limit, None if the response
         does not tell.
     :param is_leaving: whether the target accepts no new requests.
+    :param pause_s: time in seconds for which the target wants no requests from
+        this instance, None if it names none.
     """
 
     not_run: bool
@@ -32,6 +34,7 @@
     max_idle_s: float | None = None
     total_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class TargetCodec(Protocol):
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -10,6 +10,7 @@
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import Candidate, TargetRecord
 
+from tamarackway_entry.forwarding._announcements import AnnouncementRecorder
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
 from tamarackway_entry.forwarding._model import ForwardRequest
 from tamarackway_entry.forwarding._state import SteeringState
@@ -46,8 +47,8 @@
 
     A refused request was sent, but the target did not run it. A lost one was
     sent without a valid response, so that the target may have run it. A
-    withdrawn one was not sent, since the target began to leave or was
-    restarted meanwhile.
+    withdrawn one was not sent, since the target began to leave, wanted no more
+    requests or was restarted meanwhile.
     """
 
     ANSWERED = 'answered'
@@ -137,6 +138,7 @@
         self._clock = clock
         self._pools: dict[str, _TargetPool] = {}
         self._max_idle_s: dict[str, float] = {}
+        self._announcements = AnnouncementRecorder(state, clock)
         self._pending_checks: deque[_PendingCheck] = deque(
             maxlen=_MAX_PENDING_CHECKS
         )
@@ -246,8 +248,9 @@
                 connection.close()
                 return AttemptResult(
                     AttemptOutcome.WITHDRAWN,
-                    error='the target is leaving or was restarted',
+                    error='the target is leaving, paused or restarted',
                 )
+        sent_s = self._clock.now_s()
         try:
             response = await connection.exchange(
                 self._codec.encode_request(
@@ -264,7 +267,7 @@
         if known is None or known.idle is not pool:
             connection.close()
         pool.release(connection, self._clock.now_s())
-        return self._evaluate_response(candidate, response)
+        return self._evaluate_response(candidate, response, sent_s)
 
     def _find_pool(self, record: TargetRecord) -> IdleConnectionPool:
         """Return the connections to a target, closing those to an earlier one.
@@ -291,6 +294,10 @@
         known = catalogue.find(record.name)
         if known is None or not catalogue.is_usable(record.name):
             return False
+        if self._state.selector.pauses.is_paused(
+            record.name, record.incarnation, self._clock.now_s()
+        ):
+            return False
         is_same_process = known.incarnation == record.incarnation
         is_same_server = known.address == record.address
         return (
@@ -311,7 +318,7 @@
         return connection.is_first if matches is None else matches
 
     def _evaluate_response(
-        self, candidate: Candidate, response: Response
+        self, candidate: Candidate, response: Response, sent_s: float
     ) -> AttemptResult:
         metadata = self._codec.decode_metadata(response)
         if metadata.max_idle_s is not None:
@@ -320,8 +327,7 @@
         if metadata.load is not None:
             candidate.stats.record_load(metadata.load, self._clock.now_s())
         if not metadata.wrong_target:
-            self._observe_rate_limit(candidate.record, metadata)
-            self._observe_departure(candidate.record, metadata)
+            self._announcements.record(candidate.record, metadata, sent_s)
         if metadata.not_run or metadata.wrong_target:
             return AttemptResult(
                 AttemptOutcome.REFUSED, response, metadata, 'not run'
@@ -334,41 +340,6 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
-    def _observe_rate_limit(
-        self, record: TargetRecord, metadata: ResponseMetadata
-    ) -> None:
-        total_per_s = metadata.total_per_s
-        if total_per_s is None:
-            return
-        rate_limiter = self._state.selector.rate_limiter
-        now_s = self._clock.now_s()
-        if rate_limiter.observe(
-            record.name, record.incarnation, total_per_s, now_s
-        ):
-            _log.info(
-                'Target %s of service %s accepts %.3g requests per second '
-                'from all instances.',
-                record.name,
-                record.service,
-                total_per_s,
-            )
-
-    def _observe_departure(
-        self, record: TargetRecord, metadata: ResponseMetadata
-    ) -> None:
-        if metadata.is_leaving and self._state.catalogue.mark_leaving(
-            record.name,
-            record.incarnation,
-            self._clock.now_s(),
-            from_peer=False,
-        ):
-            _log.info(
-                'Target %s of service %s says in a response that it is '
-                'leaving.',
-                record.name,
-                record.service,
-            )
-
     async def _connect(self, candidate: Candidate) -> Connection:
         record = candidate.record
         started_s = self._clock.now_s()
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -298,6 +298,39 @@
     )
 
 
+# Guards against requests to a target that has named a time for which it wants
+# none, also if they were planned before.
+@pytest.mark.parametrize('wrong_target', [False, True])
+def test_time_without_requests_is_recorded(
+    environment: Environment, *, wrong_target: bool
+) -> None:
+    metadata = ResponseMetadata(
+        not_run=True, wrong_target=wrong_target, signed=False, pause_s=3
+    )
+    environment.sender = TargetSender(
+        environment.state, FakeCodec(metadata), environment.clock
+    )
+    environment.send()
+    pauses = environment.state.selector.pauses
+    now_s = environment.clock.now_s()
+    assert pauses.is_paused('t', 1, now_s) is not wrong_target
+
+
+def test_request_is_withdrawn_if_target_is_paused_during_connect(
+    environment: Environment,
+) -> None:
+    pauses = environment.state.selector.pauses
+
+    def pause() -> None:
+        pauses.observe('t', 1, 3, environment.clock.now_s())
+
+    environment.on_connect = pause
+    assert environment.send().outcome == AttemptOutcome.WITHDRAWN
+    environment.on_connect = lambda: None
+    environment.clock.moment_s += 3.1
+    assert environment.send().outcome == AttemptOutcome.ANSWERED
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
