--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -1,5 +1,6 @@
 """Tests of the routing of single requests."""
 
+import dataclasses
 import itertools
 
 import pytest
@@ -9,6 +10,7 @@
     Catalogue,
     ColdStartLimiter,
     DemandTracker,
+    LeavingTarget,
     LoadReport,
     Route,
     RouteTable,
@@ -374,3 +376,169 @@
             assert not limited
         else:
             assert second - first == pytest.approx(step_s)
+
+
+# Guards against requests to a leaving target through the list of the service
+# that it ran before.
+@pytest.mark.parametrize('leaving', [False, True])
+def test_target_that_changes_its_service_leaves_the_old_one(
+    *, leaving: bool
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t'), 0)
+    assert catalogue.list_usable('s').targets
+    moved = dataclasses.replace(make_target('t', sequence=2), service='other')
+    catalogue.put(moved, 1)
+    if leaving:
+        left = dataclasses.replace(moved, sequence=3, leaving=True)
+        catalogue.put(left, 2)
+    assert not catalogue.list_usable('s').targets
+    assert len(catalogue.list_usable('other').targets) == (not leaving)
+
+
+# Guards against requests to a leaving target whose clock was set back before
+# it started again under its name.
+@pytest.mark.parametrize('registered_s', [0, 1.0, 1.9])
+def test_target_with_an_older_incarnation_is_known_before_it_may_leave(
+    registered_s: float,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t', incarnation=5, sequence=70), 0)
+    again = make_target('t', incarnation=4)
+    catalogue.put(again, 10)
+    leaving = dataclasses.replace(again, sequence=2, leaving=True)
+    catalogue.put(leaving, 10 + registered_s)
+    catalogue.adopt_restarted(12)
+    assert catalogue.find('t') == leaving
+    assert not catalogue.is_usable('t')
+    assert not catalogue.list_usable('s').targets
+
+
+# A late write of an earlier incarnation does not replace a running one.
+def test_late_record_of_an_earlier_incarnation_is_ignored() -> None:
+    catalogue = Catalogue()
+    running = make_target('t', incarnation=5)
+    catalogue.put(running, 0)
+    catalogue.put(make_target('t', incarnation=4, leaving=True), 10)
+    again = dataclasses.replace(running, sequence=2)
+    catalogue.put(again, 11.5)
+    catalogue.adopt_restarted(13)
+    assert catalogue.find('t') == again
+    catalogue.put(make_target('t', incarnation=4, leaving=True), 20)
+    catalogue.remove('t')
+    catalogue.adopt_restarted(30)
+    assert catalogue.find('t') is None
+
+
+# Guards against requests to a target that says in its responses that it is
+# leaving, while its row still says that it is ready.
+@pytest.mark.parametrize(
+    ('incarnation', 'sequence', 'removed', 'usable'),
+    [
+        (1, 1, False, False),
+        (1, 2, False, False),
+        (1, 2, True, False),
+        (2, 1, False, True),
+        (2, 1, True, True),
+    ],
+)
+@pytest.mark.parametrize('from_peer', [False, True])
+def test_target_that_said_it_is_leaving_stays_unused(
+    incarnation: int,
+    sequence: int,
+    *,
+    removed: bool,
+    from_peer: bool,
+    usable: bool,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(make_target('t'), 0)
+    assert catalogue.list_usable('s').targets
+    assert catalogue.mark_leaving('t', 1, 1, from_peer=from_peer)
+    assert not catalogue.mark_leaving('t', 1, 2, from_peer=from_peer)
+    assert not catalogue.is_usable('t')
+    assert not catalogue.list_usable('s').targets
+    if removed:
+        catalogue.remove('t')
+    again = make_target('t', incarnation=incarnation, sequence=sequence)
+    catalogue.put(again, 3)
+    assert catalogue.is_usable('t') is usable
+    assert bool(catalogue.list_usable('s').targets) is usable
+
+
+def test_late_word_of_an_earlier_incarnation_does_not_stop_its_successor() -> (
+    None
+):
+    catalogue = Catalogue()
+    catalogue.put(make_target('t', incarnation=2), 0)
+    assert not catalogue.mark_leaving('t', 1, 1, from_peer=True)
+    assert catalogue.is_usable('t')
+    assert catalogue.mark_leaving('t', 2, 2, from_peer=False)
+    catalogue.mark_leaving('t', 0, 3, from_peer=True)
+    assert not catalogue.is_usable('t')
+
+
+def test_only_own_and_recent_departures_are_reported_to_peers() -> None:
+    catalogue = Catalogue()
+    for number in range(200):
+        catalogue.mark_leaving(f'own{number}', 1, 1, from_peer=False)
+    catalogue.mark_leaving('last', 7, 1, from_peer=False)
+    catalogue.mark_leaving('of a peer', 1, 1, from_peer=True)
+    reported = catalogue.departures.list_recent(2)
+    assert LeavingTarget('last', 7) in reported
+    assert all(target.name != 'of a peer' for target in reported)
+    assert len(reported) <= 64
+    assert not catalogue.departures.list_recent(7)
+
+
+def test_number_of_remembered_departures_is_bounded() -> None:
+    catalogue = Catalogue()
+    for number in range(5000):
+        catalogue.mark_leaving(f't{number}', 1, 1, from_peer=False)
+    for number in (0, 4999):
+        catalogue.put(make_target(f't{number}'), 2)
+    assert catalogue.is_usable('t0')
+    assert not catalogue.is_usable('t4999')
+
+
+@pytest.mark.parametrize('affinity_key', ['', 'k'])
+@pytest.mark.parametrize('paused', ['', 'a', 'abc', 'abcd'])
+def test_paused_targets_are_not_selected(
+    paused: str, affinity_key: str
+) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in paused:
+        selector.pauses.observe(name, 1, 3, 100)
+    query = TargetQuery('s', affinity_key)
+    for step in range(29):
+        chosen = selector.select(query, POLICY, (), 100 + step / 10)
+        assert (chosen is None) is (len(paused) == 4)
+        if chosen is not None:
+            assert chosen.record.name not in paused
+    assert selector.select(query, POLICY, (), 103) is not None
+
+
+# Callers that are refused by paused targets return after the earliest end, and
+# not all at once.
+@pytest.mark.parametrize(
+    ('paused', 'limited', 'first_s'),
+    [('abc', '', None), ('abcd', '', 3), ('abcd', 'ab', 3), ('abc', 'd', 0)],
+)
+def test_refused_callers_return_after_the_earliest_pause(
+    paused: str, limited: str, first_s: float | None
+) -> None:
+    selector, _ = make_selector(*(make_target(name) for name in 'abcd'))
+    for name in limited:
+        limit_target(selector, name, 2.0)
+    for duration_s, name in enumerate(paused, 3):
+        selector.pauses.observe(name, 1, duration_s, 100)
+    query = TargetQuery('s')
+    delays_s = [selector.return_delay_s(query, 100) for _ in range(20)]
+    if first_s is None:
+        assert delays_s == [None] * 20
+        return
+    known_s = [delay_s for delay_s in delays_s if delay_s is not None]
+    assert len(known_s) == 20
+    assert all(first_s <= delay_s <= first_s + 2 for delay_s in known_s)
+    assert known_s == sorted(known_s)
+    assert known_s[-1] > known_s[0]
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -6,9 +6,11 @@
 from typing import Final
 
 import anyio
+from tamarackway_core.places import Address
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import Candidate, TargetRecord
 
+from tamarackway_entry.forwarding._announcements import AnnouncementRecorder
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
 from tamarackway_entry.forwarding._model import ForwardRequest
 from tamarackway_entry.forwarding._state import SteeringState
@@ -45,7 +47,8 @@
 
     A refused request was sent, but the target did not run it. A lost one was
     sent without a valid response, so that the target may have run it. A
-    withdrawn one was not sent, since the target began to leave meanwhile.
+    withdrawn one was not sent, since the target began to leave, wanted no more
+    requests or was restarted meanwhile.
     """
 
     ANSWERED = 'answered'
@@ -99,6 +102,22 @@
     loss: Loss
 
 
+@dataclass(frozen=True, slots=True)
+class _TargetPool:
+    """Idle connections to one incarnation of a target."""
+
+    incarnation: int
+    address: Address
+    idle: IdleConnectionPool
+
+    def belongs_to(self, record: TargetRecord) -> bool:
+        """Return whether the connections lead to a target."""
+        return (self.incarnation, self.address) == (
+            record.incarnation,
+            record.address,
+        )
+
+
 class TargetSender:
     """Sends requests to targets over pooled connections.
 
@@ -117,8 +136,9 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        self._pools: dict[str, IdleConnectionPool] = {}
+        self._pools: dict[str, _TargetPool] = {}
         self._max_idle_s: dict[str, float] = {}
+        self._announcements = AnnouncementRecorder(state, clock)
         self._pending_checks: deque[_PendingCheck] = deque(
             maxlen=_MAX_PENDING_CHECKS
         )
@@ -187,7 +207,7 @@
         :param names: names of targets that still exist.
         """
         for name in self._pools.keys() - names:
-            self._pools.pop(name).close()
+            self._close_pool(name)
 
     async def _check(self, check: _PendingCheck) -> None:
         candidate = check.candidate
@@ -218,17 +238,19 @@
         at_most_once: bool,
     ) -> AttemptResult:
         name = candidate.record.name
-        pool = self._pools.setdefault(name, IdleConnectionPool())
+        pool = self._find_pool(candidate.record)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
         max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
         connection = pool.acquire(max_idle_s, self._clock.now_s())
         if connection is None:
             connection = await self._connect(candidate)
-            if not self._state.catalogue.is_usable(name):
+            if not self._is_current(candidate.record):
                 connection.close()
                 return AttemptResult(
-                    AttemptOutcome.WITHDRAWN, error='the target is leaving'
+                    AttemptOutcome.WITHDRAWN,
+                    error='the target is leaving, paused or restarted',
                 )
+        sent_s = self._clock.now_s()
         try:
             response = await connection.exchange(
                 self._codec.encode_request(
@@ -241,8 +263,48 @@
         except BaseException:
             connection.close()
             raise
+        known = self._pools.get(name)
+        if known is None or known.idle is not pool:
+            connection.close()
         pool.release(connection, self._clock.now_s())
-        return self._evaluate_response(candidate, response)
+        return self._evaluate_response(candidate, response, sent_s)
+
+    def _find_pool(self, record: TargetRecord) -> IdleConnectionPool:
+        """Return the connections to a target, closing those to an earlier one.
+
+        :param record: the target.
+        """
+        known = self._pools.get(record.name)
+        if known is None or not known.belongs_to(record):
+            self._close_pool(record.name)
+            known = _TargetPool(
+                record.incarnation, record.address, IdleConnectionPool()
+            )
+            self._pools[record.name] = known
+        return known.idle
+
+    def _close_pool(self, name: str) -> None:
+        known = self._pools.pop(name, None)
+        if known is not None:
+            known.idle.close()
+
+    def _is_current(self, record: TargetRecord) -> bool:
+        """Return whether a target still accepts requests as it was chosen."""
+        catalogue = self._state.catalogue
+        known = catalogue.find(record.name)
+        if known is None or not catalogue.is_usable(record.name):
+            return False
+        if self._state.selector.pauses.is_paused(
+            record.name, record.incarnation, self._clock.now_s()
+        ):
+            return False
+        is_same_process = known.incarnation == record.incarnation
+        is_same_server = known.address == record.address
+        return (
+            is_same_process
+            and is_same_server
+            and known.service == record.service
+        )
 
     def _matches_request(
         self,
@@ -256,7 +318,7 @@
         return connection.is_first if matches is None else matches
 
     def _evaluate_response(
-        self, candidate: Candidate, response: Response
+        self, candidate: Candidate, response: Response, sent_s: float
     ) -> AttemptResult:
         metadata = self._codec.decode_metadata(response)
         if metadata.max_idle_s is not None:
@@ -265,7 +327,7 @@
         if metadata.load is not None:
             candidate.stats.record_load(metadata.load, self._clock.now_s())
         if not metadata.wrong_target:
-            self._observe_rate_limit(candidate.record, metadata)
+            self._announcements.record(candidate.record, metadata, sent_s)
         if metadata.not_run or metadata.wrong_target:
             return AttemptResult(
                 AttemptOutcome.REFUSED, response, metadata, 'not run'
@@ -278,25 +340,6 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
-    def _observe_rate_limit(
-        self, record: TargetRecord, metadata: ResponseMetadata
-    ) -> None:
-        total_per_s = metadata.total_per_s
-        if total_per_s is None:
-            return
-        rate_limiter = self._state.selector.rate_limiter
-        now_s = self._clock.now_s()
-        if rate_limiter.observe(
-            record.name, record.incarnation, total_per_s, now_s
-        ):
-            _log.info(
-                'Target %s of service %s accepts %.3g requests per second '
-                'from all instances.',
-                record.name,
-                record.service,
-                total_per_s,
-            )
-
     async def _connect(self, candidate: Candidate) -> Connection:
         record = candidate.record
         started_s = self._clock.now_s()
@@ -338,7 +381,7 @@
             run_s = max(now_s - started_s - round_trip_s, 0)
             self._record_run_time(candidate, run_s, now_s)
             return
-        self._pools.pop(candidate.record.name, IdleConnectionPool()).close()
+        self._close_pool(candidate.record.name)
         if attempt.outcome == AttemptOutcome.NOT_SENT:
             ejection_s = stats.record_failure(now_s)
             _log.warning(
