--- a/packages/core/src/tamarackway_core/steering/_model.py
+++ b/packages/core/src/tamarackway_core/steering/_model.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from tamarackway_core.numbers import Serial
 from tamarackway_core.places import Address, Place
 
 
@@ -116,6 +117,18 @@
     sequence: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingTarget:
+    """A target that said in a response that it is leaving.
+
+    :param name: name of the target.
+    :param incarnation: incarnation of the target that said so.
+    """
+
+    name: str
+    incarnation: Serial
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load of a target, as reported with a response.
--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import cbor2
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies
 
@@ -15,6 +16,7 @@
 from tamarackway_core.places import Instance, Place, State
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
+from tamarackway_core.steering import LeavingTarget
 from tamarackway_core.tests.fuzzing import FUZZING
 from tamarackway_core.wire import (
     Envelope,
@@ -60,6 +62,7 @@
                 TargetRateLimit('t1', 2, 8.25, 0.5),
                 TargetRateLimit('t2', 2, math.inf, 0.5),
             ),
+            leaving_targets=(LeavingTarget('t1', 2),),
         ),
         Ok(),
     ],
@@ -68,6 +71,21 @@
     assert decode(encode(Envelope(7, message))) == Envelope(7, message)
 
 
+# Instances of two releases run side by side during an update.
+@pytest.mark.parametrize(
+    ('present', 'absent'), [('later', ''), ('', 'leaving_targets')]
+)
+def test_heartbeat_of_another_release_is_decoded(
+    present: str, absent: str
+) -> None:
+    beat = FleetBeat('e1', None, {}, {}, store_answers=True, rates={})
+    body = msgspec.to_builtins(beat)
+    body[present] = [{'name': 't'}]
+    body.pop(absent, None)
+    frame = cbor2.dumps([7, 'FleetBeat', body])
+    assert decode(frame) == Envelope(7, beat)
+
+
 @pytest.mark.parametrize(
     'frame',
     [
@@ -102,6 +120,7 @@
     'ages_s': {'t': 0.5},
     'store_answers': True,
     'rates': {'s': 2.5},
+    'leaving_targets': [{'name': 't', 'incarnation': 1}],
     'losses': [{'fingerprint': 'f', 'target': 't', 'incarnation': 1}],
     'rate_limits': [
         {'target': 't', 'incarnation': 1, 'total_per_s': 2, 'age_s': 0.5}
@@ -136,6 +155,7 @@
         ('FleetBeat', BEAT, 'rate_limits.incarnation'),
         ('FleetBeat', BEAT, 'rate_limits.total_per_s'),
         ('FleetBeat', BEAT, 'rate_limits.age_s'),
+        ('FleetBeat', BEAT, 'leaving_targets.incarnation'),
         ('FleetBeat', BEAT, 'member.peers'),
         ('FleetBeat', BEAT, 'member.callers'),
         ('RowsRelay', RELAY, 'after'),
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -6,9 +6,11 @@
 from typing import Final
 
 import anyio
+from tamarackway_core.places import Address
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import Candidate, TargetRecord
 
+from tamarackway_entry.forwarding._announcements import AnnouncementRecorder
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
 from tamarackway_entry.forwarding._connections import TargetConnections
 from tamarackway_entry.forwarding._model import ForwardRequest
@@ -45,7 +47,8 @@
 
     A refused request was sent, but the target did not run it. A lost one was
     sent without a valid response, so that the target may have run it. A
-    withdrawn one was not sent, since the target began to leave meanwhile.
+    withdrawn one was not sent, since the target began to leave, wanted no more
+    requests or was restarted meanwhile.
     """
 
     ANSWERED = 'answered'
@@ -99,6 +102,23 @@
     loss: Loss
 
 
+@dataclass(frozen=True, slots=True)
+class _TargetPool:
+    """Connections to one incarnation of a target."""
+
+    incarnation: int
+    address: Address
+    connections: TargetConnections
+
+    def belongs_to(self, record: TargetRecord) -> bool:
+        """Return whether the connections lead to a target, and may be used."""
+        is_same = (self.incarnation, self.address) == (
+            record.incarnation,
+            record.address,
+        )
+        return is_same and not self.connections.is_retired
+
+
 class TargetSender:
     """Sends requests to targets over pooled connections.
 
@@ -117,8 +137,9 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        self._connections: dict[str, TargetConnections] = {}
+        self._pools: dict[str, _TargetPool] = {}
         self._max_idle_s: dict[str, float] = {}
+        self._announcements = AnnouncementRecorder(state, clock)
         self._pending_checks: deque[_PendingCheck] = deque(
             maxlen=_MAX_PENDING_CHECKS
         )
@@ -186,8 +207,8 @@
 
         :param names: names of targets that still exist.
         """
-        for name in self._connections.keys() - names:
-            self._connections.pop(name).retire()
+        for name in self._pools.keys() - names:
+            self._close_pool(name)
 
     async def _check(self, check: _PendingCheck) -> None:
         candidate = check.candidate
@@ -218,7 +239,7 @@
         at_most_once: bool,
     ) -> AttemptResult:
         name = candidate.record.name
-        connections = self._find_connections(name)
+        connections = self._find_connections(candidate.record)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
         max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
         connection = connections.acquire(
@@ -226,11 +247,13 @@
         )
         if connection is None:
             connection = await self._connect(candidate)
-            if not self._state.catalogue.is_usable(name):
+            if not self._is_current(candidate.record):
                 connection.close()
                 return AttemptResult(
-                    AttemptOutcome.WITHDRAWN, error='the target is leaving'
+                    AttemptOutcome.WITHDRAWN,
+                    error='the target is leaving, paused or restarted',
                 )
+        sent_s = self._clock.now_s()
         try:
             response = await connection.exchange(
                 self._codec.encode_request(
@@ -243,18 +266,48 @@
         except BaseException:
             connection.close()
             raise
-        attempt = self._evaluate_response(candidate, response)
+        attempt = self._evaluate_response(candidate, response, sent_s)
         if attempt.outcome == AttemptOutcome.REFUSED:
             connections.record_refusal(request.request_id)
         connections.release(connection, self._clock.now_s())
         return attempt
 
-    def _find_connections(self, name: str) -> TargetConnections:
-        connections = self._connections.get(name)
-        if connections is None or connections.is_retired:
-            connections = TargetConnections()
-            self._connections[name] = connections
-        return connections
+    def _find_connections(self, record: TargetRecord) -> TargetConnections:
+        """Return the connections to a target, closing those to an earlier one.
+
+        :param record: the target.
+        """
+        known = self._pools.get(record.name)
+        if known is None or not known.belongs_to(record):
+            self._close_pool(record.name)
+            known = _TargetPool(
+                record.incarnation, record.address, TargetConnections()
+            )
+            self._pools[record.name] = known
+        return known.connections
+
+    def _close_pool(self, name: str) -> None:
+        known = self._pools.pop(name, None)
+        if known is not None:
+            known.connections.retire()
+
+    def _is_current(self, record: TargetRecord) -> bool:
+        """Return whether a target still accepts requests as it was chosen."""
+        catalogue = self._state.catalogue
+        known = catalogue.find(record.name)
+        if known is None or not catalogue.is_usable(record.name):
+            return False
+        if self._state.selector.pauses.is_paused(
+            record.name, record.incarnation, self._clock.now_s()
+        ):
+            return False
+        is_same_process = known.incarnation == record.incarnation
+        is_same_server = known.address == record.address
+        return (
+            is_same_process
+            and is_same_server
+            and known.service == record.service
+        )
 
     def _matches_request(
         self,
@@ -268,7 +321,7 @@
         return connection.is_first if matches is None else matches
 
     def _evaluate_response(
-        self, candidate: Candidate, response: Response
+        self, candidate: Candidate, response: Response, sent_s: float
     ) -> AttemptResult:
         metadata = self._codec.decode_metadata(response)
         if metadata.max_idle_s is not None:
@@ -277,7 +330,7 @@
         if metadata.load is not None:
             candidate.stats.record_load(metadata.load, self._clock.now_s())
         if not metadata.wrong_target:
-            self._observe_rate_limit(candidate.record, metadata)
+            self._announcements.record(candidate.record, metadata, sent_s)
         if metadata.not_run or metadata.wrong_target:
             return AttemptResult(
                 AttemptOutcome.REFUSED, response, metadata, 'not run'
@@ -290,25 +343,6 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
-    def _observe_rate_limit(
-        self, record: TargetRecord, metadata: ResponseMetadata
-    ) -> None:
-        total_per_s = metadata.total_per_s
-        if total_per_s is None:
-            return
-        rate_limiter = self._state.selector.rate_limiter
-        now_s = self._clock.now_s()
-        if rate_limiter.observe(
-            record.name, record.incarnation, total_per_s, now_s
-        ):
-            _log.info(
-                'Target %s of service %s accepts %.3g requests per second '
-                'from all instances.',
-                record.name,
-                record.service,
-                total_per_s,
-            )
-
     async def _connect(self, candidate: Candidate) -> Connection:
         record = candidate.record
         started_s = self._clock.now_s()
@@ -350,7 +384,7 @@
             run_s = max(now_s - started_s - round_trip_s, 0)
             self._record_run_time(candidate, run_s, now_s)
             return
-        self._find_connections(candidate.record.name).retire()
+        self._close_pool(candidate.record.name)
         if attempt.outcome == AttemptOutcome.NOT_SENT:
             ejection_s = stats.record_failure(now_s)
             _log.warning(
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import pytest
@@ -98,6 +99,7 @@
         policy = ServicePolicy('s', cold_s=3, cold_per_s=5)
         self.state.configure(Configuration(1, services={'s': policy}))
         self.state.catalogue.put(RECORD, self.clock.now_s())
+        self.record = RECORD
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
         self.on_connect: Callable[[], None] = lambda: None
@@ -118,9 +120,11 @@
         return FakeConnection(self.outcome)
 
     def build_candidate(self) -> Candidate:
-        stats = self.state.target_stats.find('t', 1, self.clock.now_s())
+        stats = self.state.target_stats.find(
+            't', self.record.incarnation, self.clock.now_s()
+        )
         return Candidate(
-            RECORD,
+            self.record,
             stats,
             cost_s=0,
             warm=False,
@@ -217,6 +221,116 @@
     assert not environment.build_candidate().stats.is_ejected(now_s)
 
 
+# Guards against requests to the earlier address of a target that was restarted
+# or moved to another service while the connection was opened.
+@pytest.mark.parametrize(
+    ('change', 'withdrawn'),
+    [
+        ({'incarnation': 2}, True),
+        ({'address': Address('127.0.0.1', 81)}, True),
+        ({'service': 'other'}, True),
+        ({}, False),
+    ],
+)
+def test_request_is_withdrawn_if_target_changes_during_connect(
+    environment: Environment, change: dict[str, Any], *, withdrawn: bool
+) -> None:
+    def publish() -> None:
+        record = dataclasses.replace(RECORD, sequence=1, **change)
+        catalogue = environment.state.catalogue
+        catalogue.put(record, environment.clock.now_s())
+
+    environment.on_connect = publish
+    attempt = environment.send()
+    assert (attempt.outcome == AttemptOutcome.WITHDRAWN) is withdrawn
+
+
+# Guards against requests to the earlier process of a restarted target over a
+# connection that was kept to it.
+@pytest.mark.parametrize(
+    ('change', 'connects'),
+    [
+        ({'incarnation': 2}, 2),
+        ({'address': Address('127.0.0.1', 81)}, 2),
+        ({'sequence': 2}, 1),
+    ],
+)
+def test_connection_is_kept_for_one_incarnation_and_address(
+    environment: Environment, change: dict[str, Any], connects: int
+) -> None:
+    addresses: list[int] = []
+    environment.on_connect = lambda: addresses.append(len(addresses))
+    environment.send()
+    environment.record = dataclasses.replace(RECORD, **change)
+    environment.state.catalogue.put(
+        environment.record, environment.clock.now_s()
+    )
+    assert environment.send().outcome == AttemptOutcome.ANSWERED
+    assert len(addresses) == connects
+
+
+@pytest.mark.parametrize(
+    ('not_run', 'wrong_target', 'usable'),
+    [(False, False, False), (True, False, False), (True, True, True)],
+)
+def test_departure_in_a_response_is_recorded(
+    environment: Environment,
+    *,
+    not_run: bool,
+    wrong_target: bool,
+    usable: bool,
+) -> None:
+    metadata = ResponseMetadata(
+        not_run=not_run,
+        wrong_target=wrong_target,
+        signed=True,
+        is_leaving=True,
+    )
+    environment.sender = TargetSender(
+        environment.state, FakeCodec(metadata), environment.clock
+    )
+    environment.send()
+    catalogue = environment.state.catalogue
+    assert catalogue.is_usable('t') is usable
+    assert (
+        bool(catalogue.departures.list_recent(environment.clock.now_s()))
+        is not usable
+    )
+
+
+# Guards against requests to a target that has named a time for which it wants
+# none, also if they were planned before.
+@pytest.mark.parametrize('wrong_target', [False, True])
+def test_time_without_requests_is_recorded(
+    environment: Environment, *, wrong_target: bool
+) -> None:
+    metadata = ResponseMetadata(
+        not_run=True, wrong_target=wrong_target, signed=False, pause_s=3
+    )
+    environment.sender = TargetSender(
+        environment.state, FakeCodec(metadata), environment.clock
+    )
+    environment.send()
+    pauses = environment.state.selector.pauses
+    now_s = environment.clock.now_s()
+    assert pauses.is_paused('t', 1, now_s) is not wrong_target
+
+
+def test_request_is_withdrawn_if_target_is_paused_during_connect(
+    environment: Environment,
+) -> None:
+    pauses = environment.state.selector.pauses
+
+    def pause() -> None:
+        pauses.observe('t', 1, 3, environment.clock.now_s())
+
+    environment.on_connect = pause
+    assert environment.send().outcome == AttemptOutcome.WITHDRAWN
+    environment.on_connect = lambda: None
+    environment.clock.moment_s += 3.1
+    assert environment.send().outcome == AttemptOutcome.ANSWERED
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -14,8 +14,9 @@
 _MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_HEAD_BYTES
 # Less than a third of the memory of the smallest instance.
 _BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
+_FIRST_STATUS: Final = 100
+_LAST_STATUS: Final = 599
 _FIRST_FINAL_STATUS: Final = 200
-_MAX_STATUS: Final = 599
 _TRANSFER_CODING: Final = b'transfer-encoding'
 _CHUNKED: Final = b'chunked'
 _FRAMING: Final = frozenset((b'content-length', _TRANSFER_CODING))
@@ -122,8 +123,13 @@
     def on_headers_complete(self) -> None:
         """Check the end of the headers; called by the parser.
 
-        :raises InvalidResponseError: if the body cannot be decoded for certain.
+        :raises InvalidResponseError: if the status is not one of HTTP, which
+            the HTTP server could not pass on, or the body cannot be decoded
+            for certain.
         """
+        status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            raise InvalidResponseError('the status is out of range')
         self._headers_complete = True
         codings = [
             value.lower()
@@ -132,8 +138,6 @@
         ]
         if codings and codings != [_CHUNKED]:
             raise InvalidResponseError('the transfer coding is not chunked')
-        if self._parser.get_status_code() > _MAX_STATUS:
-            raise InvalidResponseError('the status is not defined')
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body; called by the parser."""
