Hold no short failure of one instance for an outage of the store

A removed target stays in use for 2.5 s if the store was down before, since live targets register again. An elected instance whose own reads failed for 0.3 s or more took that for an outage, although its peers read on: a peer is elected in its place, and the time of that peer's first read lies 0.3 s and more after the failure. Removals that the instance read in the next half second left the target in use for up to 2.66 s.

An outage now takes 1 s: by then a peer has been elected and its read is known, and registrations of targets outlast that time.

--- a/packages/entry/src/tamarackway_entry/following/_outage.py
+++ b/packages/entry/src/tamarackway_entry/following/_outage.py
@@ -3,7 +3,9 @@
 import math
 from typing import Final
 
-_MIN_OUTAGE_S: Final = 0.3  # failures that end sooner are not outages
+# Registrations outlast a shorter outage. If only this instance fails, a peer
+# takes over and its first read is known here within this time.
+_MIN_OUTAGE_S: Final = 1.0
 # All tables are read, and their first changes relayed, within this time.
 _RECOVERY_S: Final = 0.5
 
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -323,6 +323,27 @@
     assert listener.sink.outages[-1] is after_outage
 
 
+# Guards against requests to a removed target on an instance that was elected,
+# lost the store on its own and reads the removal itself.
+@pytest.mark.parametrize('read_after_s', [0.2, 0.6, 0.9])
+def test_peer_that_reads_soon_after_a_failure_shows_that_there_is_no_outage(
+    read_after_s: float,
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('left')
+    lost, peer = Replica(store, clock), Replica(store, clock)
+    for replica in (lost, peer):
+        replica.poll()
+    lose_store(lost, store)
+    clock.moment_s += read_after_s
+    peer.poll()
+    peer.confirm(lost.service)
+    clock.moment_s += 0.3
+    store.put('left', removed=True)
+    lost.poll()
+    assert not lost.sink.outages[-1]
+
+
 # Guards against requests to a removed target on all instances, because the
 # elected one had lost the store on its own and relays the removal.
 @pytest.mark.parametrize('listener_lost_store', [False, True])
