Confirm no table by a read during which the process stood still

A read of the store counted as new when its response was handled. An elected instance that was frozen between the response and its own turn told its peers for one heartbeat that tables some seconds old were new; they then waited for up to 1.3 s more before they read for themselves, with a bound of 2 s.

A read that returns later than its time-out, which only a process that stood still sees, counts from its start. Confirmations never move back.

test_instance_that_was_frozen_during_a_read_confirms_nothing failed in 1 of 3 cases before, as intended.

--- a/packages/entry/src/tamarackway_entry/following/_progress.py
+++ b/packages/entry/src/tamarackway_entry/following/_progress.py
@@ -49,13 +49,13 @@
         self.advance(position, last_change)
         self.known_from = position
 
-    def record_poll(self, now_s: float) -> None:
+    def record_poll(self, read_s: float) -> None:
         """Record that the table was read from the store itself.
 
-        :param now_s: monotonic time in seconds.
+        :param read_s: monotonic time in seconds of the read.
         """
-        self.polled_s = now_s
-        self.confirmed_s = now_s
+        self.polled_s = read_s
+        self.confirmed_s = max(self.confirmed_s, read_s)
         self.behind_since_s = math.inf
 
     def update_from_peer(
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -30,6 +30,7 @@
 _LONG_POLL_S: Final = 0.7  # short, since each reply also confirms the table
 _MAX_CONFIRMATION_AGE_S: Final = 1.3  # changes must take effect within 2 s
 _RELAY_TIMEOUT_S: Final = 0.4  # longer than a relay between any two regions
+_MAX_READ_S: Final = 1.0  # above the time-out of reads
 _CHECK_INTERVAL_S: Final = 0.1
 _FIRST_RETRY_S: Final = 0.1
 _MAX_RETRY_S: Final = 0.6  # expired targets must be back within 2 s
@@ -247,6 +248,8 @@
 
     async def _poll(self, progress: Progress) -> None:
         table = progress.table
+        started_s = self._clock.now_s()
+        wait_s: float = 0
         if progress.is_loaded:
             after = progress.position
             wait_s = _LONG_POLL_S if self.is_elected() else 0
@@ -270,7 +273,10 @@
                 after_outage,
             )
             progress.load(result.position, _last_version(result.rows))
-        progress.record_poll(self._clock.now_s())
+        now_s = self._clock.now_s()
+        # If this process stood still meanwhile, the response is old.
+        is_late = now_s - started_s > wait_s + _MAX_READ_S
+        progress.record_poll(started_s if is_late else now_s)
 
     def _apply_changes(
         self,
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -1,7 +1,7 @@
 """Tests of table replication: polling, relays and confirmations."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 import pytest
@@ -39,6 +39,7 @@
         self.down = False
         self.compacted = False
         self.calls = 0
+        self.on_read: Callable[[], None] = lambda: None
 
     def put(self, key: str, *, removed: bool = False) -> None:
         self.version += 1
@@ -61,7 +62,9 @@
         if self.compacted:
             raise HistoryCompactedError(table)
         changed = tuple(row for row in self.rows if row.version > after)
-        return ReadResult(changed, self.version)
+        version = self.version
+        self.on_read()
+        return ReadResult(changed, version)
 
     async def write(self, table: str, writes: Sequence[RowWrite]) -> bool:
         return True
@@ -125,6 +128,15 @@
         for table, last_change in self.service.last_changes().items():
             peer.update_from_peer(table, last_change, known_from[table], 0)
 
+    def confirm_with_ages(self, peer: FollowService) -> None:
+        """Report progress and the age of each read, as heartbeats do."""
+        known_from = self.service.known_from()
+        last_changes = self.service.last_changes()
+        for table, age_s in self.service.ages_s().items():
+            peer.update_from_peer(
+                table, last_changes[table], known_from[table], age_s
+            )
+
 
 def test_two_followers_do_not_confirm_each_other() -> None:
     """Otherwise neither would poll after both lost the elected instance."""
@@ -366,3 +378,30 @@
     assert elected.relays[-1].after_outage
     listener.service.apply_relay(elected.relays[-1])
     assert listener.sink.outages[-1] is listener_lost_store
+
+
+# Guards against requests to a removed target on all instances, because the
+# elected one was frozen and confirms what it had read before.
+@pytest.mark.parametrize(
+    ('frozen_s', 'confirms'), [(0.0, True), (0.7, True), (3.0, False)]
+)
+def test_instance_that_was_frozen_during_a_read_confirms_nothing(
+    frozen_s: float, *, confirms: bool
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('left')
+    elected, listener = Replica(store, clock), Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    listener.poll()
+    elected.poll()
+
+    def freeze() -> None:
+        clock.moment_s += frozen_s
+        store.put('left', removed=True)
+
+    clock.moment_s += 1.2
+    store.on_read = freeze
+    elected.poll()
+    elected.confirm_with_ages(listener.service)
+    clock.moment_s += 0.2
+    assert listener.service.should_poll('t') is not confirms
