Bound the framing of responses, and drop their trailers

Cause: the parser reports trailers by the callback of headers, and the reader kept each line, some thirty bytes of memory for each byte received, up to the 8 MB of an exchange. The limit on the head ended with the head. As another effect, a trailer was taken for a header: `Not-Executed` in a trailer made a refusal of a response with a body.

Trailers are now dropped (RFC 9110 allows that). One limit of 64 KiB holds for everything around bodies (heads, chunk extensions, trailers, also of informational responses), counted from the last byte of a body, and a head has at most 256 headers, so that small lines cannot take much more memory than they have bytes.

--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -1,6 +1,10 @@
 """Tests of a connection to servers that send wrong, late or extra bytes."""
 
 import asyncio
+import gc
+import tracemalloc
+from collections.abc import Generator
+from contextlib import contextmanager
 
 import pytest
 
@@ -154,6 +158,79 @@
         assert asyncio.run(receive()) <= 65 * MIB + 40 * len(part)
 
 
+CHUNKED = b'HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@contextmanager
+def without_cyclic_collector() -> Generator[None]:
+    """Trace memory that only reference counting frees."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        yield
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+def open_exchange() -> tuple[Connection, asyncio.Future[Response]]:
+    connection = Connection()
+    connection.connection_made(FakeTransport())
+    return connection, asyncio.ensure_future(
+        connection.exchange(b'ask', matches)
+    )
+
+
+# Guards against trailers without end, of which each line of four bytes was
+# stored as a header and took some thirty times its size.
+@pytest.mark.parametrize(
+    ('start', 'part'),
+    [
+        (CHUNKED + b'2\r\nok\r\n0\r\n', b'a:\r\n' * 8192),
+        (CHUNKED + b'2\r\nok\r\n0\r\n', b'a' * 32_768),
+        (CHUNKED + b'2\r\nok\r\n0\r\na: ', b'a' * 32_768),
+        (CHUNKED + b'2\r\nok\r\n', b'2;' + b'a' * 32_768),
+        (CHUNKED.removesuffix(b'\r\n'), b'a:\r\n' * 8192),
+        (b'', b'HTTP/1.1 103 Early Hints\r\na:\r\n\r\n' * 1024),
+    ],
+)
+def test_memory_of_endless_framing_is_bounded(
+    start: bytes, part: bytes
+) -> None:
+    async def receive() -> None:
+        connection, exchange = open_exchange()
+        await asyncio.sleep(0)
+        connection.data_received(start)
+        tracemalloc.reset_peak()
+        for _ in range(32):
+            if connection.is_open:
+                connection.data_received(part)
+        exchange.cancel()
+        await asyncio.wait([exchange])
+
+    with without_cyclic_collector():
+        asyncio.run(receive())
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    assert peak_bytes < MIB
+
+
+def test_trailers_are_not_taken_for_headers() -> None:
+    trailers = b'2\r\nok\r\n0\r\nnot-executed: 1\r\n\r\n'
+    response, connection = asyncio.run(_exchange(CHUNKED + trailers))
+    assert response.body == b'ok'
+    assert response.find(b'not-executed') is None
+    assert connection.reusable
+
+
+def test_response_with_many_headers_is_read() -> None:
+    lines = b''.join(b'name-%d: content\r\n' % n for n in range(100))
+    head = b'HTTP/1.1 200 OK\r\nid: own\r\n' + lines
+    received = head + b'Content-Length: 2\r\n\r\nok'
+    response, _ = asyncio.run(_exchange(received))
+    assert response.find(b'name-99') == b'content'
+
+
 @pytest.mark.parametrize(
     ('received', 'reusable'),
     [
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -9,9 +9,12 @@
 from tamarackway_entry.upstream._budget import ReceiveBudget
 from tamarackway_entry.upstream._errors import InvalidResponseError
 
-_MAX_HEAD_BYTES: Final = 65_536
+# Of everything around bodies: heads, chunk sizes and trailers, also of
+# informational responses. Counted from the last byte of a body.
+_MAX_FRAMING_BYTES: Final = 65_536
+_MAX_HEADERS: Final = 256  # each takes some 150 bytes besides its content
 # Of all responses in an exchange, informational and skipped ones included.
-_MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_HEAD_BYTES
+_MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_FRAMING_BYTES
 # Less than a third of the memory of the smallest instance.
 _BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
 _FIRST_STATUS: Final = 100
@@ -19,10 +22,6 @@
 _FIRST_FINAL_STATUS: Final = 200
 _FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS: Final = frozenset((204, 304))
-_INVALID_RESPONSE: Final = (
-    httptools.HttpParserError,
-    httptools.HttpParserUpgrade,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,14 +68,14 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._headers_complete = False
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self._exchange_bytes = 0
 
     def end_exchange(self) -> None:
         """Stop counting the bytes received for the current request."""
         _BUDGET.release(self._exchange_bytes)
         self._exchange_bytes = 0
-        self._head_bytes = 0
+        self._framing_bytes = 0
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes.
@@ -85,7 +84,7 @@
         :raises InvalidResponseError: if the response is invalid or too large.
         """
         self._exchange_bytes += len(received)
-        self._head_bytes += len(received)
+        self._framing_bytes += len(received)
         fits = _BUDGET.add(len(received), self._exchange_bytes)
         if not fits or self._exchange_bytes > _MAX_EXCHANGE_BYTES:
             raise InvalidResponseError('the answer is too long')
@@ -95,11 +94,13 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            raise InvalidResponseError(f'not an answer: {error}') from error
-        if self._headers_complete:
-            self._head_bytes = 0
-        elif self._head_bytes > _MAX_HEAD_BYTES:
-            raise InvalidResponseError('the head of the answer is too long')
+            # Errors of the callbacks below are the context of the parser's.
+            problem = error.__context__ or error
+            raise InvalidResponseError(f'not an answer: {problem}') from error
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            raise InvalidResponseError(
+                'the head or the trailers of the answer are too long'
+            )
 
     def end_cleanly(self) -> None:
         """Handle the end of the stream, which ends a body without a length."""
@@ -114,7 +115,11 @@
         self._headers_complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; called by the parser."""
+        """Add a header, but no trailer; called by the parser."""
+        if self._headers_complete:
+            return
+        if len(self._headers) == _MAX_HEADERS:
+            raise InvalidResponseError(f'more than {_MAX_HEADERS} headers')
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -131,6 +136,7 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body; called by the parser."""
         self._body += body
+        self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """Deliver a complete response; called by the parser."""
