Free the memory of failed responses when their exchange ends

Cause: Connection, ResponseReader and its parser refer to each other, and nothing cleared the body of up to 8 MB of a failed response, so it stayed until the next full run of the cyclic collector, while ReceiveBudget had released its bytes. The budget was a constant, whatever the memory limit. And targets kept their full share of the requests, as only failed connects eject.

The reader now clears what it holds when an exchange ends, and gives up its parser if the connection is not reused; errors carry no traceback whose frames would keep the received bytes. A target of which more than half of the latest responses are invalid or without end is ejected like one that refuses connections, with the same probes; single invalid responses among many do not eject. A response that announces more than 8 MB, or for which no memory is left, ends only its exchange, before it is received: that says nothing against its target (ResponseTooLargeError).

--- a/packages/core/src/tamarackway_core/steering/_target_stats.py
+++ b/packages/core/src/tamarackway_core/steering/_target_stats.py
@@ -9,7 +9,9 @@
 
 _REPORT_LIFETIME_S: Final = 0.4  # load changes within a few hundred ms
 _SLOWDOWN_LIFETIME_S: Final = 3.0
-_GAIN: Final = 0.3  # of the slowdown and the shed rate
+_GAIN: Final = 0.3  # of the slowdown, the shed rate and the invalid rate
+# A few invalid responses among many cost less than the loss of a target.
+_MAX_INVALID_RATE: Final = 0.5
 _MEAN_LOAD_GAIN: Final = 0.1
 _MAX_SLOWDOWN: Final = 8.0
 _MIN_EJECTION_S: Final = 0.5
@@ -23,7 +25,8 @@
 
     Requests of this instance are counted in ``in_flight`` by the sender. The
     load of other senders is known from load reports only. ``shed_rate`` is a
-    moving average of the fraction of requests that the target shed.
+    moving average of the fraction of requests that the target shed, and
+    ``invalid_rate`` one of the fraction of its responses that were invalid.
 
     :param incarnation: incarnation of the target.
     :param now_s: monotonic time in seconds.
@@ -36,6 +39,7 @@
         self.ejected_until_s = now_s
         self.failures = 0
         self.shed_rate: float = 0
+        self.invalid_rate: float = 0
         self._slowdown = 1.0
         self._slowdown_updated_s = now_s
         self._other_load: float = 0
@@ -99,11 +103,25 @@
         self._slowdown_updated_s = now_s
         self.failures = 0
         self.shed_rate *= 1 - _GAIN
+        self.invalid_rate *= 1 - _GAIN
 
     def record_shed(self) -> None:
         """Record that the target shed a request."""
         self.shed_rate += _GAIN * (1 - self.shed_rate)
 
+    def record_invalid_response(self, now_s: float) -> float:
+        """Record an invalid response; return the duration of an ejection.
+
+        The target is ejected, as after a failure, if more than half of its
+        latest responses were invalid. Otherwise the duration is 0.
+
+        :param now_s: monotonic time in seconds.
+        """
+        self.invalid_rate += _GAIN * (1 - self.invalid_rate)
+        if self.invalid_rate <= _MAX_INVALID_RATE:
+            return 0
+        return self.record_failure(now_s)
+
     def record_failure(self, now_s: float) -> float:
         """Eject the target and return the duration of the ejection.
 
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -333,6 +333,32 @@
     assert not stats.is_ejected(ejection_s)
 
 
+# Guards against targets that keep their share of the requests although most of
+# their responses are no responses.
+@pytest.mark.parametrize(
+    ('responses', 'ejected'),
+    [
+        ('i', False),
+        ('ii', True),
+        ('isi', False),
+        ('iisi', True),
+        ('isssisssisss', False),
+        ('iis', False),
+    ],
+)
+def test_target_with_mostly_invalid_responses_is_ejected(
+    responses: str, *, ejected: bool
+) -> None:
+    stats = TargetStats(1, 0)
+    for response in responses:
+        if response == 'i':
+            stats.record_invalid_response(0)
+        else:
+            stats.record_success(1, 0)
+            stats.ejected_until_s = 0
+    assert stats.is_ejected(0.1) is ejected
+
+
 def limit_target(selector: TargetSelector, name: str, per_s: float) -> None:
     selector.rate_limiter.divide_among('i1', ['i1'])
     selector.rate_limiter.observe(name, 1, per_s, 100)
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -23,6 +23,7 @@
     InvalidResponseError,
     NotSentError,
     Response,
+    ResponseTooLargeError,
     connect,
 )
 
@@ -68,12 +69,14 @@
     :param response: valid response of the target, if there is one.
     :param metadata: metadata of that response.
     :param error: description of the failure, for logs.
+    :param is_invalid: whether the target sent something that is no response.
     """
 
     outcome: AttemptOutcome
     response: Response | None = None
     metadata: ResponseMetadata | None = None
     error: str = ''
+    is_invalid: bool = False
 
     @property
     def was_sent(self) -> bool:
@@ -168,8 +171,16 @@
                 )
         except NotSentError as error:
             attempt = AttemptResult(AttemptOutcome.NOT_SENT, error=str(error))
-        except (ConnectionLostError, InvalidResponseError) as error:
-            attempt = AttemptResult(AttemptOutcome.LOST, error=str(error))
+        except (
+            ConnectionLostError,
+            InvalidResponseError,
+            ResponseTooLargeError,
+        ) as error:
+            attempt = AttemptResult(
+                AttemptOutcome.LOST,
+                error=str(error),
+                is_invalid=isinstance(error, InvalidResponseError),
+            )
         except TimeoutError:
             attempt = AttemptResult(
                 AttemptOutcome.TIMED_OUT, error='no answer in time'
@@ -336,7 +347,9 @@
         success = _OK <= response.status < _FIRST_REDIRECT
         if success and not metadata.signed:
             return AttemptResult(
-                AttemptOutcome.LOST, error='the answer is not signed'
+                AttemptOutcome.LOST,
+                error='the answer is not signed',
+                is_invalid=True,
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
@@ -382,8 +395,18 @@
             self._record_run_time(candidate, run_s, now_s)
             return
         self._close_pool(candidate.record.name)
+        self._record_failure(candidate, attempt, now_s)
+
+    def _record_failure(
+        self, candidate: Candidate, attempt: AttemptResult, now_s: float
+    ) -> None:
         if attempt.outcome == AttemptOutcome.NOT_SENT:
-            ejection_s = stats.record_failure(now_s)
+            ejection_s = candidate.stats.record_failure(now_s)
+        elif attempt.is_invalid:
+            ejection_s = candidate.stats.record_invalid_response(now_s)
+        else:
+            return
+        if ejection_s:
             _log.warning(
                 'Target %s is ejected for %.1f s: %s.',
                 candidate.record.name,
--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -14,6 +14,7 @@
     InvalidResponseError,
     NotSentError,
     Response,
+    ResponseTooLargeError,
 )
 
 OWN = b'HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 2\r\n\r\nok'
@@ -215,6 +216,76 @@
     assert peak_bytes < MIB
 
 
+# Guards against bodies of failed responses that stay in memory, not counted any
+# more, until the cyclic collector runs.
+@pytest.mark.parametrize('end', ['too long', 'invalid', 'given up', 'reset'])
+def test_memory_of_a_failed_response_is_free_when_it_ends(end: str) -> None:
+    async def fail() -> Connection:
+        connection, exchange = open_exchange()
+        await asyncio.sleep(0)
+        connection.data_received(CHUNKED)
+        for _ in range(200 if end == 'too long' else 32):
+            connection.data_received(CHUNK)
+        if end == 'invalid':
+            connection.data_received(b'no chunk' + b'x' * 262_144)
+        if end == 'given up':
+            exchange.cancel()
+        if end == 'reset':
+            connection.connection_lost(ConnectionResetError('reset'))
+        await asyncio.wait([exchange])
+        # An exception that nobody retrieves is logged, and kept by the log.
+        assert exchange.cancelled() or exchange.exception()
+        return connection
+
+    async def fail_often() -> int:
+        # Callers may keep connections longer than their exchanges.
+        connections = [await fail() for _ in range(8)]
+        assert not any(connection.reusable for connection in connections)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        return held_bytes
+
+    with without_cyclic_collector():
+        assert asyncio.run(fail_often()) < MIB
+
+
+def test_memory_of_a_delivered_response_belongs_to_its_receiver() -> None:
+    async def receive() -> int:
+        connection, exchange = open_exchange()
+        await asyncio.sleep(0)
+        connection.data_received(CHUNKED + 32 * CHUNK + b'0\r\n\r\n')
+        response = await exchange
+        assert connection.reusable
+        assert len(response.body) == 2 * MIB
+        del response, exchange
+        await asyncio.sleep(0)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        return held_bytes
+
+    with without_cyclic_collector():
+        assert asyncio.run(receive()) < MIB
+
+
+@pytest.mark.parametrize(
+    ('length', 'error'),
+    [(8 * MIB, None), (9 * MIB, ResponseTooLargeError)],
+)
+def test_response_that_announces_too_much_is_not_received(
+    length: int, error: type[Exception] | None
+) -> None:
+    async def receive() -> BaseException | None:
+        connection, exchange = open_exchange()
+        await asyncio.sleep(0)
+        head = b'HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: %d\r\n\r\n'
+        connection.data_received(head % length)
+        if connection.is_open:
+            connection.data_received(b'x' * length)
+        await asyncio.wait([exchange])
+        return exchange.exception()
+
+    failure = asyncio.run(receive())
+    assert isinstance(failure, error) if error else failure is None
+
+
 def test_trailers_are_not_taken_for_headers() -> None:
     trailers = b'2\r\nok\r\n0\r\nnot-executed: 1\r\n\r\n'
     response, connection = asyncio.run(_exchange(CHUNKED + trailers))
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -29,8 +29,10 @@
 from tamarackway_entry.tests.test_forwarder import make_request
 from tamarackway_entry.upstream import (
     ConnectionLostError,
+    InvalidResponseError,
     NotSentError,
     Response,
+    ResponseTooLargeError,
 )
 
 RECORD = TargetRecord(
@@ -338,6 +340,32 @@
         assert environment.build_candidate().stats.in_flight == 0
 
 
+# Guards against targets that answer without end and keep their share of the
+# requests. A response that is only too large says nothing against its target.
+@pytest.mark.parametrize(
+    ('outcome', 'ejected'),
+    [
+        (InvalidResponseError('the answer is too long'), True),
+        (ResponseTooLargeError('the answer is too large'), False),
+        (ConnectionLostError('reset'), False),
+        (COMPLETE, False),
+    ],
+)
+def test_target_is_ejected_after_invalid_responses(
+    environment: Environment,
+    outcome: Response | Exception,
+    *,
+    ejected: bool,
+) -> None:
+    environment.outcome = outcome
+    for _ in range(2):
+        attempt = environment.send()
+        assert attempt.may_have_run
+    now_s = environment.clock.now_s()
+    stats = environment.build_candidate().stats
+    assert stats.is_ejected(now_s) is ejected
+
+
 def test_unsigned_success_counts_as_lost(environment: Environment) -> None:
     environment.sender = TargetSender(
         environment.state,
--- a/packages/entry/src/tamarackway_entry/upstream/__init__.py
+++ b/packages/entry/src/tamarackway_entry/upstream/__init__.py
@@ -10,6 +10,9 @@
     InvalidResponseError as InvalidResponseError,
 )
 from tamarackway_entry.upstream._errors import NotSentError as NotSentError
+from tamarackway_entry.upstream._errors import (
+    ResponseTooLargeError as ResponseTooLargeError,
+)
 from tamarackway_entry.upstream._errors import TimedOutError as TimedOutError
 from tamarackway_entry.upstream._pool import (
     IdleConnectionPool as IdleConnectionPool,
--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -12,10 +12,12 @@
 
 from tamarackway_core.places import Address
 
+from tamarackway_entry.memory import PROCESS_BUDGET, MemoryBudget
 from tamarackway_entry.upstream._errors import (
     ConnectionLostError,
     InvalidResponseError,
     NotSentError,
+    ResponseTooLargeError,
 )
 from tamarackway_entry.upstream._reader import Response, ResponseReader
 
@@ -29,16 +31,18 @@
 
     Bytes that arrive while no response is expected close the connection.
     Otherwise they could be taken for the response to a later request.
+
+    :param budget: bounds the memory of all messages.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget = PROCESS_BUDGET) -> None:
         """Initialize without a transport."""
         self.reusable = False
         self.idle_since_s: float = 0
         self.is_first = True
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader(
-            self._on_response_begin, self._on_response
+            self._on_response_begin, self._on_response, budget
         )
         self._waiter: asyncio.Future[Response] | None = None
         self._matches: MatchCallback | None = None
@@ -59,6 +63,7 @@
         :raises NotSentError: if the connection was already closed.
         :raises ConnectionLostError: if it ended before the whole response.
         :raises InvalidResponseError: if the response is not valid.
+        :raises ResponseTooLargeError: if it does not fit in memory.
         """
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -89,8 +94,9 @@
             return
         try:
             self._reader.feed(received)
-        except InvalidResponseError as error:
-            self._fail(error)
+        except (InvalidResponseError, ResponseTooLargeError) as error:
+            # Frames of the traceback would keep the received bytes.
+            self._fail(error.with_traceback(None))
             self._discard()
 
     def eof_received(self) -> bool:
@@ -124,7 +130,8 @@
 
     def _end_exchange(self) -> None:
         self._waiter = None
-        self._reader.end_exchange()
+        self._matches = None
+        self._reader.end_exchange(reusable=self.reusable)
         self.is_first = False
         if not self.reusable:
             self.close()
--- a/packages/entry/src/tamarackway_entry/upstream/_errors.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_errors.py
@@ -18,4 +18,8 @@
 
 
 class InvalidResponseError(HttpError):
-    """The response is malformed, too large or for another request."""
+    """The response is malformed, does not end or is for another request."""
+
+
+class ResponseTooLargeError(HttpError):
+    """A valid response is too large, or memory is short; it may have run."""
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -6,8 +6,11 @@
 
 import httptools
 
-from tamarackway_entry.upstream._budget import ReceiveBudget
-from tamarackway_entry.upstream._errors import InvalidResponseError
+from tamarackway_entry.memory import MemoryBudget
+from tamarackway_entry.upstream._errors import (
+    InvalidResponseError,
+    ResponseTooLargeError,
+)
 
 # Of everything around bodies: heads, chunk sizes and trailers, also of
 # informational responses. Counted from the last byte of a body.
@@ -15,8 +18,8 @@
 _MAX_HEADERS: Final = 256  # each takes some 150 bytes besides its content
 # Of all responses in an exchange, informational and skipped ones included.
 _MAX_EXCHANGE_BYTES: Final = 8 * 1024 * 1024 + _MAX_FRAMING_BYTES
-# Less than a third of the memory of the smallest instance.
-_BUDGET: Final = ReceiveBudget(8 * _MAX_EXCHANGE_BYTES)
+# Growing one buffer for each large body would fragment the heap.
+_PIECE_BYTES: Final = 65_536
 _FIRST_STATUS: Final = 100
 _LAST_STATUS: Final = 599
 _FIRST_FINAL_STATUS: Final = 200
@@ -54,26 +57,40 @@
     :param on_begin: called at the start of each response.
     :param on_response: called with each complete response, and whether the
         server keeps the connection open.
+    :param budget: bounds the memory of all messages.
     """
 
     def __init__(
         self,
         on_begin: Callable[[], None],
         on_response: Callable[[Response, bool], None],
+        budget: MemoryBudget,
     ) -> None:
         """Initialize before the first response."""
         self._on_begin = on_begin
         self._on_response = on_response
+        self._budget = budget
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
+        self._body: list[bytearray] = []
         self._headers_complete = False
+        self._is_too_large = False
         self._framing_bytes = 0
         self._exchange_bytes = 0
 
-    def end_exchange(self) -> None:
-        """Stop counting the bytes received for the current request."""
-        _BUDGET.release(self._exchange_bytes)
+    def end_exchange(self, *, reusable: bool) -> None:
+        """Free the bytes received for the current request.
+
+        The connection, this reader and its parser refer to each other, so
+        that they outlive the exchange until the cyclic collector runs.
+
+        :param reusable: whether another exchange may follow.
+        """
+        self._clear()
+        if not reusable:
+            # The parser may hold a header that has not ended.
+            self._parser = httptools.HttpResponseParser(None)
+        self._budget.release(self._exchange_bytes)
         self._exchange_bytes = 0
         self._framing_bytes = 0
 
@@ -81,22 +98,17 @@
         """Parse received bytes.
 
         :param received: bytes received on the connection.
-        :raises InvalidResponseError: if the response is invalid or too large.
+        :raises InvalidResponseError: if the response is invalid or endless.
+        :raises ResponseTooLargeError: if it is too large or memory is short.
         """
         self._exchange_bytes += len(received)
         self._framing_bytes += len(received)
-        fits = _BUDGET.add(len(received), self._exchange_bytes)
-        if not fits or self._exchange_bytes > _MAX_EXCHANGE_BYTES:
+        fits = self._budget.add(len(received), self._exchange_bytes)
+        if self._exchange_bytes > _MAX_EXCHANGE_BYTES:
             raise InvalidResponseError('the answer is too long')
-        try:
-            self._parser.feed_data(received)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            # Errors of the callbacks below are the context of the parser's.
-            problem = error.__context__ or error
-            raise InvalidResponseError(f'not an answer: {problem}') from error
+        if not fits:
+            raise ResponseTooLargeError('no memory is left for the answer')
+        self._parse(received)
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             raise InvalidResponseError(
                 'the head or the trailers of the answer are too long'
@@ -110,9 +122,7 @@
     def on_message_begin(self) -> None:
         """Start a response; called by the parser."""
         self._on_begin()
-        self._headers = []
-        self._body = bytearray()
-        self._headers_complete = False
+        self._clear()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, but no trailer; called by the parser."""
@@ -123,7 +133,7 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Record the end of the headers; called by the parser.
+        """Check the status and the length of the body; called by the parser.
 
         :raises InvalidResponseError: if the status is not one of HTTP, which
             the HTTP server could not pass on.
@@ -132,10 +142,18 @@
         if not _FIRST_STATUS <= status <= _LAST_STATUS:
             raise InvalidResponseError('the status is out of range')
         self._headers_complete = True
+        if status not in _BODILESS:
+            self._is_too_large = any(
+                name == b'content-length' and int(text) > _MAX_EXCHANGE_BYTES
+                for name, text in self._headers
+            )
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body; called by the parser."""
-        self._body += body
+        if self._body and len(self._body[-1]) < _PIECE_BYTES:
+            self._body[-1] += body
+        else:
+            self._body.append(bytearray(body))
         self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
@@ -143,9 +161,31 @@
         if self._parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self._on_response(self._build(), self._parser.should_keep_alive())
 
+    def _parse(self, received: bytes) -> None:
+        problem: str | None = None
+        try:
+            self._parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            # Errors of the callbacks are the context of the parser's.
+            problem = str(error.__context__ or error)
+        if problem is not None:
+            raise InvalidResponseError(f'not an answer: {problem}')
+        if self._is_too_large:
+            raise ResponseTooLargeError('the answer is too large')
+
     def _build(self) -> Response:
         status = self._parser.get_status_code()
-        return Response(status, tuple(self._headers), bytes(self._body))
+        response = Response(status, tuple(self._headers), b''.join(self._body))
+        self._clear()
+        return response
+
+    def _clear(self) -> None:
+        self._headers = []
+        self._body = []
+        self._headers_complete = False
 
     def _is_framed(self) -> bool:
         if self._parser.get_status_code() in _BODILESS:
