Count requests and responses for as long as they are held

Instances exceeded their memory under bodies that the configuration allows (maxBodyBytes is 64 MB): nothing bounded their sum, and each was held several times. A 64 MB upload was copied into bytes, into the encoded request and into the buffer of the transport. Responses stopped counting when they were complete, and were copied into the buffer of the caller's transport, where they stayed as long as the caller did not read.

The bytes of a response count until nothing refers to it any more (Reservation), so also while a slow caller reads it, or while a failed response is kept for a retry.

The test of the codec asserted that the body follows the head. The connection sends it now; test_body_is_sent_after_the_head and test_body_is_sent_as_fast_as_the_server_reads assert that in its place.

--- a/packages/entry/src/tamarackway_entry/forwarding/_codec.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_codec.py
@@ -46,7 +46,7 @@
         target: TargetRecord,
         timeout_s: float,
     ) -> bytes:
-        """Return a request encoded as HTTP/1.1.
+        """Return a request encoded as HTTP/1.1, without its body.
 
         :param request: the request.
         :param target: the only target that may run it.
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -374,6 +374,7 @@
         Origin.TARGET,
         response.headers,
         response.body,
+        reservation=response.reservation,
     )
 
 
--- a/packages/entry/src/tamarackway_entry/forwarding/_model.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_model.py
@@ -1,7 +1,9 @@
 """Requests and responses, independent of the listener."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from tamarackway_entry.memory import Reservation
 
 
 class Origin(enum.StrEnum):
@@ -39,7 +41,7 @@
     path: str
     path_and_query: bytes
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes | bytearray
     affinity_key: str
     received_s: float
     timeout_s: float
@@ -56,6 +58,7 @@
     :param body: all bytes of the body.
     :param reason: why this instance refused the request or failed, for logs.
     :param retry_after_s: seconds after which the caller may retry, or 0.
+    :param reservation: counts the memory of the body.
     """
 
     status: int
@@ -64,3 +67,4 @@
     body: bytes = b''
     reason: str = ''
     retry_after_s: float = 0
+    reservation: Reservation | None = field(default=None, compare=False)
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -270,6 +270,7 @@
                 lambda received: self._matches_request(
                     received, request, connection
                 ),
+                request.body,
             )
         except BaseException:
             connection.close()
--- a/packages/entry/src/tamarackway_entry/memory/__init__.py
+++ b/packages/entry/src/tamarackway_entry/memory/__init__.py
@@ -2,3 +2,4 @@
 
 from tamarackway_entry.memory._budget import PROCESS_BUDGET as PROCESS_BUDGET
 from tamarackway_entry.memory._budget import MemoryBudget as MemoryBudget
+from tamarackway_entry.memory._budget import Reservation as Reservation
--- a/packages/entry/src/tamarackway_entry/memory/_budget.py
+++ b/packages/entry/src/tamarackway_entry/memory/_budget.py
@@ -1,13 +1,16 @@
 """Budget for the memory of messages."""
 
-from collections.abc import Generator
-from contextlib import contextmanager
+import weakref
 from typing import Final
 
 _SMALL_BYTES: Final = 65_536  # messages up to this size always fit
 _DEFAULT_LIMIT_BYTES: Final = 134_217_728  # until the settings are read
 
 
+class Reservation:
+    """Counts bytes for as long as it is referenced, with what holds them."""
+
+
 class MemoryBudget:
     """Bounds the bytes of all requests and responses that are held.
 
@@ -34,6 +37,14 @@
         """
         self._max_bytes = limit_bytes // 2
 
+    def fits(self, message_bytes: int) -> bool:
+        """Return whether a whole message would fit now.
+
+        :param message_bytes: number of its bytes.
+        """
+        is_within = self._used_bytes + message_bytes <= self._max_bytes
+        return is_within or message_bytes <= _SMALL_BYTES
+
     def add(self, added_bytes: int, message_bytes: int) -> bool:
         """Count bytes of a message; return whether it still fits.
 
@@ -53,17 +64,15 @@
         """
         self._used_bytes -= message_bytes
 
-    @contextmanager
-    def hold(self, message_bytes: int) -> Generator[None]:
-        """Count the bytes of a complete message while it is held.
+    def transfer(self, message_bytes: int) -> Reservation:
+        """Return a reservation that takes over counted bytes.
 
-        :param message_bytes: number of its bytes.
+        :param message_bytes: number of the bytes.
         """
-        self._used_bytes += message_bytes
-        try:
-            yield
-        finally:
-            self._used_bytes -= message_bytes
+        reservation = Reservation()
+        finalizer = weakref.finalize(reservation, self.release, message_bytes)
+        finalizer.atexit = False
+        return reservation
 
 
 # All connections and servers of a process share its memory.
--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tamarackway_entry.memory import PROCESS_BUDGET
 from tamarackway_entry.upstream import (
     Connection,
     ConnectionLostError,
@@ -30,6 +31,7 @@
         super().__init__()
         self.written = b''
         self.closed = False
+        self.unsent_bytes = 0
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written += bytes(data)
@@ -41,7 +43,7 @@
         return self.closed
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent_bytes
 
 
 def matches(response: Response) -> bool:
@@ -248,16 +250,20 @@
         assert asyncio.run(fail_often()) < MIB
 
 
-def test_memory_of_a_delivered_response_belongs_to_its_receiver() -> None:
+# Guards against responses that are held for slow callers and not counted.
+def test_delivered_response_counts_until_it_is_dropped() -> None:
     async def receive() -> int:
+        used_bytes = PROCESS_BUDGET.used_bytes
         connection, exchange = open_exchange()
         await asyncio.sleep(0)
         connection.data_received(CHUNKED + 32 * CHUNK + b'0\r\n\r\n')
         response = await exchange
         assert connection.reusable
         assert len(response.body) == 2 * MIB
+        assert PROCESS_BUDGET.used_bytes == used_bytes + 2 * MIB
         del response, exchange
         await asyncio.sleep(0)
+        assert PROCESS_BUDGET.used_bytes == used_bytes
         held_bytes, _ = tracemalloc.get_traced_memory()
         return held_bytes
 
@@ -325,6 +331,56 @@
     assert connection.reusable is reusable
 
 
+@pytest.mark.parametrize('body_bytes', [0, 1, 65_536, 65_537, 300_000])
+def test_body_is_sent_as_fast_as_the_server_reads(body_bytes: int) -> None:
+    body = b'ab' * (body_bytes // 2) + b'c' * (body_bytes % 2)
+
+    async def run() -> None:
+        connection = Connection()
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        connection.pause_writing()
+        exchange = asyncio.ensure_future(
+            connection.exchange(b'ask', matches, body)
+        )
+        await asyncio.sleep(0)
+        # A large body waits for the server, a small one goes with the head.
+        is_large = body_bytes > 65_536
+        assert transport.written == b'ask' + (b'' if is_large else body)
+        connection.resume_writing()
+        assert transport.written == b'ask' + body
+        connection.data_received(OWN)
+        assert (await exchange).body == b'ok'
+        assert connection.reusable
+
+    asyncio.run(run())
+
+
+# Guards against the rest of a body that a server takes for the next request.
+@pytest.mark.parametrize(('is_paused', 'unsent_bytes'), [(True, 0), (False, 9)])
+def test_connection_is_not_reused_before_the_body_is_sent(
+    *, is_paused: bool, unsent_bytes: int
+) -> None:
+    async def run() -> None:
+        connection = Connection()
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        if is_paused:
+            connection.pause_writing()
+        exchange = asyncio.ensure_future(
+            connection.exchange(b'ask', matches, b'x' * 100_000)
+        )
+        await asyncio.sleep(0)
+        transport.unsent_bytes = unsent_bytes
+        connection.data_received(OWN)
+        assert (await exchange).body == b'ok'
+        assert not connection.reusable
+        connection.resume_writing()
+        assert len(transport.written) < 100_000 or not is_paused
+
+    asyncio.run(run())
+
+
 def test_body_without_length_ends_with_its_connection() -> None:
     response, connection = asyncio.run(_exchange(UNFRAMED, eof=True))
     assert response.body == b'all of it'
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -51,6 +51,7 @@
 
     def __init__(self, outcome: Response | Exception) -> None:
         self.outcome = outcome
+        self.sent: list[bytes] = []
         self.idle_since_s: float = 0
         self.is_open = True
         self.reusable = True
@@ -60,7 +61,9 @@
         self,
         request: bytes,
         matches: Callable[[Response], bool],
+        body: bytes,
     ) -> Response:
+        self.sent.append(request + body)
         if isinstance(self.outcome, Exception):
             raise self.outcome
         return self.outcome
@@ -119,7 +122,8 @@
         if not self.is_reachable:
             raise NotSentError('refused')
         self.on_connect()
-        return FakeConnection(self.outcome)
+        self.connection = FakeConnection(self.outcome)
+        return self.connection
 
     def build_candidate(self) -> Candidate:
         stats = self.state.target_stats.find(
@@ -135,9 +139,9 @@
             rank=0,
         )
 
-    def send(self) -> AttemptResult:
+    def send(self, body: bytes = b'') -> AttemptResult:
         async def run() -> AttemptResult:
-            request = make_request()
+            request = dataclasses.replace(make_request(), body=body)
             return await self.sender.send(
                 request, self.build_candidate(), 1, at_most_once=True
             )
@@ -333,6 +337,11 @@
     assert environment.send().outcome == AttemptOutcome.ANSWERED
 
 
+def test_body_is_sent_after_the_head(environment: Environment) -> None:
+    environment.send(b'body')
+    assert environment.connection.sent == [b'requestbody']
+
+
 def test_in_flight_count_returns_to_zero(environment: Environment) -> None:
     for outcome in (COMPLETE, ConnectionLostError('reset')):
         environment.outcome = outcome
--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -23,6 +23,7 @@
 
 # Allows two TCP retransmissions; below the time-outs of routes.
 _USER_TIMEOUT_MS: Final = 800
+_PIECE_BYTES: Final = 65_536
 MatchCallback = Callable[[Response], bool]
 
 
@@ -46,6 +47,8 @@
         )
         self._waiter: asyncio.Future[Response] | None = None
         self._matches: MatchCallback | None = None
+        self._unsent = memoryview(b'')
+        self._is_writing_paused = False
 
     @property
     def is_open(self) -> bool:
@@ -53,13 +56,20 @@
         return self._transport is not None and not self._transport.is_closing()
 
     async def exchange(
-        self, request: bytes, matches: MatchCallback
+        self,
+        request: bytes,
+        matches: MatchCallback,
+        body: bytes | bytearray = b'',
     ) -> Response:
         """Send a request and return its response.
 
-        :param request: all bytes of the request.
+        A large body is sent in pieces, each once the server has read most
+        before it, so that the transport holds no copy of it.
+
+        :param request: bytes of the request that precede the body.
         :param matches: returns whether a response belongs to this request;
             other responses are skipped.
+        :param body: bytes of the body.
         :raises NotSentError: if the connection was already closed.
         :raises ConnectionLostError: if it ended before the whole response.
         :raises InvalidResponseError: if the response is not valid.
@@ -71,7 +81,12 @@
         self.reusable = False
         self._matches = matches
         self._waiter = asyncio.get_running_loop().create_future()
-        transport.write(request)
+        if len(body) <= _PIECE_BYTES:
+            transport.write(request + body)
+        else:
+            self._unsent = memoryview(body)
+            transport.write(request)
+            self._send_pieces(transport)
         try:
             return await self._waiter
         finally:
@@ -87,6 +102,16 @@
         if isinstance(transport, asyncio.Transport):
             self._transport = transport
 
+    def pause_writing(self) -> None:
+        """Stop sending the body; called by the event loop."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue to send the body; called by the event loop."""
+        self._is_writing_paused = False
+        if self._transport is not None:
+            self._send_pieces(self._transport)
+
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; called by the event loop."""
         if not self._is_waiting():
@@ -131,14 +156,23 @@
     def _end_exchange(self) -> None:
         self._waiter = None
         self._matches = None
+        self._unsent = memoryview(b'')
         self._reader.end_exchange(reusable=self.reusable)
         self.is_first = False
         if not self.reusable:
             self.close()
 
+    def _send_pieces(self, transport: asyncio.Transport) -> None:
+        while self._unsent and not self._is_writing_paused:
+            piece = self._unsent[:_PIECE_BYTES]
+            self._unsent = self._unsent[_PIECE_BYTES:]
+            transport.write(piece)
+
     def _is_flushed(self) -> bool:
         transport = self._transport
-        return transport is not None and not transport.get_write_buffer_size()
+        if transport is None or self._unsent:
+            return False
+        return not transport.get_write_buffer_size()
 
     def _is_waiting(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -1,12 +1,12 @@
 """Parser for the responses on one connection."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import httptools
 
-from tamarackway_entry.memory import MemoryBudget
+from tamarackway_entry.memory import MemoryBudget, Reservation
 from tamarackway_entry.upstream._errors import (
     InvalidResponseError,
     ResponseTooLargeError,
@@ -34,11 +34,13 @@
     :param status: HTTP status.
     :param headers: names in lower case and values.
     :param body: all bytes of the body.
+    :param reservation: counts the memory of the body.
     """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    reservation: Reservation | None = field(default=None, compare=False)
 
     def find(self, name: bytes) -> bytes | None:
         """Return the value of a header, or None.
@@ -77,6 +79,7 @@
         self._is_too_large = False
         self._framing_bytes = 0
         self._exchange_bytes = 0
+        self._held_bytes = 0
 
     def end_exchange(self, *, reusable: bool) -> None:
         """Free the bytes received for the current request.
@@ -90,7 +93,8 @@
         if not reusable:
             # The parser may hold a header that has not ended.
             self._parser = httptools.HttpResponseParser(None)
-        self._budget.release(self._exchange_bytes)
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
         self._exchange_bytes = 0
         self._framing_bytes = 0
 
@@ -102,6 +106,7 @@
         :raises ResponseTooLargeError: if it is too large or memory is short.
         """
         self._exchange_bytes += len(received)
+        self._held_bytes += len(received)
         self._framing_bytes += len(received)
         fits = self._budget.add(len(received), self._exchange_bytes)
         if self._exchange_bytes > _MAX_EXCHANGE_BYTES:
@@ -177,8 +182,14 @@
             raise ResponseTooLargeError('the answer is too large')
 
     def _build(self) -> Response:
-        status = self._parser.get_status_code()
-        response = Response(status, tuple(self._headers), b''.join(self._body))
+        body = b''.join(self._body)
+        self._held_bytes -= len(body)
+        response = Response(
+            self._parser.get_status_code(),
+            tuple(self._headers),
+            body,
+            self._budget.transfer(len(body)),
+        )
         self._clear()
         return response
 
