Bound the heads, trailers and pipelined requests of callers

The same fault as that of endless responses, at the other side of the daemon: uvicorn's protocol keeps a head of any length and any number of headers, appends trailers to the headers of the request, and parses and queues all requests that a client sends at once. Trailers were also forwarded, and read, as headers. An invalid request that follows another one on its connection was refused with 400 while that one was running, so that its client took the refusal for the response; and when a client with pipelined requests left, only the newest of them was told.

BoundedHttpProtocol drops trailers and bounds everything around bodies (64 KiB, 256 headers, as for responses), pipelined requests (8), the time for a head (10 s) and the time for which a client hardly reads (30 s). It refuses with 431 or 408 only if no other request waits for its response, and resets the connection otherwise.

--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -0,0 +1,167 @@
+"""HTTP/1.1 protocol of uvicorn with bounds on what a client may send."""
+
+import asyncio
+from typing import Any, Final
+
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
+
+# Of everything around bodies: heads, chunk sizes and trailers. Counted from
+# the last byte of a body.
+_MAX_FRAMING_BYTES: Final = 65_536
+_MAX_HEADERS: Final = 256  # each takes some 150 bytes besides its content
+_MAX_PIPELINED: Final = 8  # requests that wait for the responses before them
+# Of the rest of a body whose request was answered early.
+_MAX_DISCARDED_BYTES: Final = 67_108_864
+_HEAD_TIMEOUT_S: Final = 10.0
+_WRITE_TIMEOUT_S: Final = 30.0  # while the client hardly reads
+_TIMEOUT: Final = b'408 Request Timeout'
+_HEAD_TOO_LARGE: Final = b'431 Request Header Fields Too Large'
+
+
+class _ExcessError(Exception):
+    """The client sent more headers or requests than allowed."""
+
+
+class BoundedHttpProtocol(HttpToolsProtocol):
+    """Bounds the memory and the time that one connection may take.
+
+    uvicorn's protocol keeps headers without a limit, also those that follow a
+    body (trailers), and queues all requests that a client sends at once.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Start without a request."""
+        super().__init__(*arguments, **options)
+        self._running: RequestResponseCycle | None = None
+        self._in_head = False
+        self._is_head_too_large = False
+        self._framing_bytes = 0
+        self._discarded_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Handle the end of the connection; called by the event loop."""
+        self._cancel_head_timer()
+        self._cancel_write_timer()
+        # uvicorn tells only the newest request of the client.
+        running = self._running
+        if running is not None and not running.response_complete:
+            running.disconnected = True
+            running.message_event.set()
+        super().connection_lost(exc)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse received bytes; called by the event loop."""
+        self._framing_bytes += len(received)
+        super().data_received(received)
+        if self.transport.is_closing():
+            return
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            self._refuse(_HEAD_TOO_LARGE)
+        elif not self._in_head:
+            self._cancel_head_timer()
+        elif self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                _HEAD_TIMEOUT_S, self._refuse, _TIMEOUT
+            )
+
+    def pause_writing(self) -> None:
+        """Wait for the client to read; called by the event loop."""
+        super().pause_writing()
+        if self._write_timer is None:
+            self._write_timer = self.loop.call_later(
+                _WRITE_TIMEOUT_S, self.transport.abort
+            )
+
+    def resume_writing(self) -> None:
+        """Continue to write; called by the event loop."""
+        self._cancel_write_timer()
+        super().resume_writing()
+
+    def on_message_begin(self) -> None:
+        """Start a request; called by the parser."""
+        self._in_head = True
+        super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header, but no trailer; called by the parser."""
+        if not self._in_head:
+            return
+        if len(self.headers) == _MAX_HEADERS:
+            self._is_head_too_large = True
+            raise _ExcessError
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Start or queue a request; called by the parser."""
+        if len(self.pipeline) == _MAX_PIPELINED:
+            raise _ExcessError
+        self._in_head = False
+        self._framing_bytes = 0
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body; called by the parser."""
+        self._framing_bytes = 0
+        if self.cycle.response_complete:
+            self._discarded_bytes += len(body)
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                self.transport.abort()
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End a request; called by the parser."""
+        self._framing_bytes = 0
+        self._discarded_bytes = 0
+        super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:  # noqa: WPS114
+        """Refuse what is no valid request, and close the connection."""
+        if self._is_head_too_large:
+            self._refuse(_HEAD_TOO_LARGE)
+        elif self._may_refuse():
+            super().send_400_response(msg)
+        else:
+            self.transport.abort()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _refuse(self, status: bytes) -> None:
+        if not self._may_refuse():
+            self.transport.abort()
+            return
+        self.transport.write(
+            b'HTTP/1.1 %s\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
+            % status
+        )
+        self.transport.close()
+
+    def _may_refuse(self) -> bool:
+        """Return whether the client takes a refusal for the right request.
+
+        It would take one for the response to an earlier request if that is
+        still to come, or get two responses to one request.
+        """
+        cycle = self.cycle
+        if self._in_head:
+            return cycle is None or cycle.response_complete
+        if cycle is None:
+            return True
+        is_unanswered = not (cycle.response_started or self.pipeline)
+        return cycle.more_body and is_unanswered
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _cancel_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
--- a/packages/entry/src/tamarackway_entry/serving/_server.py
+++ b/packages/entry/src/tamarackway_entry/serving/_server.py
@@ -7,6 +7,8 @@
 import uvicorn
 from tamarackway_core.places import Address
 
+from tamarackway_entry.serving._protocol import BoundedHttpProtocol
+
 _KEEP_ALIVE_S: Final = 5
 _BACKLOG: Final = 1024
 
@@ -35,7 +37,7 @@
                 host=address.host,
                 port=address.port,
                 loop='asyncio',
-                http='httptools',
+                http=BoundedHttpProtocol,
                 ws='none',
                 lifespan='off',
                 access_log=False,
--- /dev/null
+++ b/packages/entry/src/tamarackway_entry/tests/test_serving.py
@@ -0,0 +1,234 @@
+"""Tests of the bounds on what a client may send to a server."""
+
+import asyncio
+import gc
+import tracemalloc
+from collections.abc import Awaitable, Callable, Generator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+import uvicorn
+
+from tamarackway_entry.serving import _protocol as protocol_module
+from tamarackway_entry.serving._protocol import BoundedHttpProtocol
+
+MIB = 1_048_576
+GET = b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n'
+POST = b'POST /x HTTP/1.1\r\nhost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class FakeTransport(asyncio.Transport):
+    """Records written bytes and whether the transport was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.closed = False
+        self.aborted = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+    def abort(self) -> None:
+        self.closed = True
+        self.aborted = True
+
+    def close(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        """Do nothing: the tests send on."""
+
+    def resume_reading(self) -> None:
+        """Do nothing: the tests send on."""
+
+
+class Server:
+    """Runs requests that have arrived whole, each until it is released."""
+
+    def __init__(self) -> None:
+        self.scopes: list[dict[str, Any]] = []
+        self.gone = 0
+        self.released = asyncio.Event()
+        self.transport = FakeTransport()
+        config = uvicorn.Config(
+            self.serve,
+            interface='asgi3',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+        )
+        config.load()
+        state = uvicorn.server.ServerState()
+        self.protocol = BoundedHttpProtocol(config, state, {})
+        self.protocol.connection_made(self.transport)
+
+    async def serve(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        message = await receive()
+        while message.get('more_body'):
+            message = await receive()
+        if message['type'] == 'http.disconnect':
+            return
+        self.scopes.append(scope)
+        if not self.released.is_set():
+            waiting = asyncio.ensure_future(self.released.wait())
+            leaving = asyncio.ensure_future(receive())
+            await asyncio.wait(
+                [waiting, leaving], return_when=asyncio.FIRST_COMPLETED
+            )
+            self.gone += leaving.done()
+            waiting.cancel()
+            leaving.cancel()
+        headers = [(b'content-length', b'2')]
+        start = {'type': 'http.response.start', 'status': 200}
+        await send({**start, 'headers': headers})
+        await send({'type': 'http.response.body', 'body': b'ok'})
+
+    async def feed(self, *received: bytes) -> None:
+        for part in received:
+            if not self.transport.closed:
+                self.protocol.data_received(part)
+            await settle()
+        if self.transport.closed:
+            self.protocol.connection_lost(None)
+            await settle()
+
+    @property
+    def status_line(self) -> bytes:
+        return self.transport.written.split(b'\r\n')[0]
+
+
+async def settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@contextmanager
+def traced() -> Generator[None]:
+    gc.collect()
+    tracemalloc.start()
+    try:
+        yield
+    finally:
+        tracemalloc.stop()
+
+
+# Guards against clients whose heads, trailers or requests have no end and fill
+# the memory of the instance.
+@pytest.mark.parametrize(
+    ('start', 'part', 'status_line'),
+    [
+        (b'', b'G' * 32_768, b'HTTP/1.1 400 Bad Request'),
+        (b'GET /', b'x' * 32_768, b'HTTP/1.1 431 Request Header'),
+        (GET[:-2], b'a' * 32_768, b'HTTP/1.1 431 Request Header'),
+        (GET[:-2] + b'a: ', b'a' * 32_768, b'HTTP/1.1 431 Request Header'),
+        (GET[:-2], b'a:\r\n' * 8192, b'HTTP/1.1 431 Request Header'),
+        (POST + b'1;', b'a' * 32_768, b'HTTP/1.1 431 Request Header'),
+        (POST + b'0\r\n', b'a' * 32_768, b'HTTP/1.1 431 Request Header'),
+        (POST + b'0\r\n', b'a:\r\n' * 8192, b'HTTP/1.1 431 Request Header'),
+        (b'', GET * 1024, b''),
+    ],
+)
+def test_memory_of_endless_requests_is_bounded(
+    start: bytes, part: bytes, status_line: bytes
+) -> None:
+    async def run() -> tuple[Server, int]:
+        server = Server()
+        with traced():
+            await server.feed(start)
+            await server.feed(*([part] * 64))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        return server, peak_bytes
+
+    server, peak_bytes = asyncio.run(run())
+    assert peak_bytes < MIB
+    assert server.transport.closed
+    assert server.status_line.startswith(status_line)
+    # Nothing but the first of the pipelined requests runs.
+    assert len(server.scopes) <= (0 if status_line else 1)
+
+
+# Guards against refusals that a client takes for the response to a request
+# that is still running.
+@pytest.mark.parametrize(
+    'second', [b'no request\r\n', GET[:-2] + b'a:\r\n' * 300, GET * 10]
+)
+def test_running_request_gets_no_refusal_of_a_later_one(second: bytes) -> None:
+    async def run() -> Server:
+        server = Server()
+        await server.feed(GET, second)
+        return server
+
+    server = asyncio.run(run())
+    assert len(server.scopes) == 1
+    assert server.gone == 1
+    assert server.transport.aborted
+    assert not server.transport.written
+
+
+def test_trailers_are_not_taken_for_headers() -> None:
+    async def run() -> Server:
+        server = Server()
+        server.released.set()
+        trailers = b'2\r\nok\r\n0\r\ndeadline-ms: 1\r\n\r\n'
+        await server.feed(POST + trailers, GET + GET)
+        return server
+
+    server = asyncio.run(run())
+    names = [name for name, _ in server.scopes[0]['headers']]
+    assert names == [b'host', b'transfer-encoding']
+    assert server.transport.written.count(b'200 OK') == 3
+    assert not server.transport.closed
+
+
+@pytest.mark.parametrize(
+    ('start', 'rest', 'status_line'),
+    [
+        (b'GET /', b'', b'HTTP/1.1 408 Request Timeout'),
+        (GET[:-2], b'', b'HTTP/1.1 408 Request Timeout'),
+        (GET[:-2], b'\r\n', b'HTTP/1.1 200 OK'),
+        (GET, b'', b'HTTP/1.1 200 OK'),
+    ],
+)
+def test_only_a_stalled_head_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+    start: bytes,
+    rest: bytes,
+    status_line: bytes,
+) -> None:
+    monkeypatch.setattr(protocol_module, '_HEAD_TIMEOUT_S', 0.02)
+
+    async def run() -> Server:
+        server = Server()
+        await server.feed(start, rest)
+        await asyncio.sleep(0.05)
+        server.released.set()
+        await settle()
+        return server
+
+    assert asyncio.run(run()).status_line == status_line
+
+
+def test_client_that_reads_nothing_is_disconnected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(protocol_module, '_WRITE_TIMEOUT_S', 0.02)
+
+    async def run(*, resumes: bool) -> bool:
+        server = Server()
+        server.protocol.pause_writing()
+        if resumes:
+            server.protocol.resume_writing()
+        await asyncio.sleep(0.05)
+        return server.transport.aborted
+
+    assert asyncio.run(run(resumes=False))
+    assert not asyncio.run(run(resumes=True))
