Give the store's responses memory of their own

While messages of callers and targets use up the memory budget, a page of the store of more than 64 KiB was given up as not fitting, so that an instance would not have followed changes of targets and of the configuration for as long as slow callers hold their responses. Such a page comes after each start and after the store has dropped its history.

Evidence: test_long_tables_are_read_while_memory_is_short failed before with "no memory is left for the answer".

--- a/packages/entry/src/tamarackway_entry/upstream/_connection.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from tamarackway_core.places import Address
@@ -187,16 +188,19 @@
         self.close()
 
 
-async def connect(address: Address) -> Connection:
+async def connect(
+    address: Address, budget: MemoryBudget = PROCESS_BUDGET
+) -> Connection:
     """Return a new connection.
 
     :param address: IP number and port of the server.
+    :param budget: bounds the memory of all messages.
     :raises NotSentError: if it cannot be opened.
     """
     loop = asyncio.get_running_loop()
     try:
         transport, connection = await loop.create_connection(
-            Connection,
+            partial(Connection, budget),
             address.host,
             address.port,
         )
