Keep offsets out of the errors of responses

A response that switches protocols ended with an error whose text was the length of its head. The reason of a failed request is a label of tamarackway_refusals, so a faulty target could add a time series with each response, up to some 64,000, which are never freed.

The text is constant now. Evidence: test_error_does_not_depend_on_received_bytes failed before with "not an answer: 59", "65" and "66". Found by reading, beside the memory of responses; no run has shown an instance that grew by it.

--- a/packages/entry/src/tamarackway_entry/tests/test_connection.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_connection.py
@@ -416,6 +416,16 @@
         asyncio.run(_exchange(*received, eof=eof, reset=reset))
 
 
+# Guards against errors that each add a time series to the metrics, which use
+# them as labels: a server chose the text by the length of its head.
+@pytest.mark.parametrize('extra', [b'', b'a: b\r\n', b'a: bc\r\n'])
+def test_error_does_not_depend_on_received_bytes(extra: bytes) -> None:
+    head = extra + b'Connection: upgrade\r\nUpgrade'
+    with pytest.raises(InvalidResponseError) as caught:
+        asyncio.run(_exchange(SWITCH.replace(b'Upgrade', head)))
+    assert str(caught.value) == 'not an answer: it switches protocols'
+
+
 def test_bytes_on_an_idle_connection_close_it() -> None:
     async def run() -> bool:
         _, connection = await _exchange(OWN)
--- a/packages/entry/src/tamarackway_entry/upstream/_reader.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_reader.py
@@ -170,10 +170,10 @@
         problem: str | None = None
         try:
             self._parser.feed_data(received)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
+        except httptools.HttpParserUpgrade:
+            # Its text is an offset; texts are labels of metrics.
+            problem = 'it switches protocols'
+        except httptools.HttpParserError as error:
             # Errors of the callbacks are the context of the parser's.
             problem = str(error.__context__ or error)
         if problem is not None:
