--- a/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
@@ -4,6 +4,8 @@
 
 import prometheus_client as prom
 
+from tamarackway_entry.memory import PROCESS_BUDGET
+
 _LATENCY_BUCKETS_S: Final = (
     0.002,
     0.005,
@@ -93,6 +95,11 @@
             'Log lines dropped because their reader is slow.',
             registry=registry,
         )
+        prom.Gauge(
+            'tamarackway_message_bytes',
+            'Memory that requests and responses take.',
+            registry=registry,
+        ).set_function(lambda: PROCESS_BUDGET.used_bytes)
         self.store_calls = prom.Gauge(
             'tamarackway_store_calls',
             'Calls to the store since the start.',
