Report a crash only of a target that accepts no connection

Cause: a lost attempt schedules a check, and the check took an ejected target for a crashed one without a connection to it. Since targets are also ejected for invalid responses, each of those counted as a crash. An invalid response no longer schedules a check, and the check always tries to connect.

Evidence: test_target_is_checked_for_a_crash_after_a_lost_connection (invalid) and test_only_target_that_accepts_no_connection_is_reported_lost (ejected) failed before.

--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -245,7 +245,8 @@
             context.sent_attempts += 1
         context.may_have_run |= attempt.may_have_run
         context.trail.append(_describe_attempt(candidate, attempt, elapsed_s))
-        if attempt.outcome == AttemptOutcome.LOST:
+        # A target that sends something invalid has not crashed.
+        if attempt.outcome == AttemptOutcome.LOST and not attempt.is_invalid:
             self._sender.schedule_check(
                 candidate, self.describe_loss(context, candidate)
             )
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -223,10 +223,6 @@
 
     async def _check(self, check: _PendingCheck) -> None:
         candidate = check.candidate
-        now_s = self._clock.now_s()
-        if candidate.stats.is_ejected(now_s):
-            self._state.quarantine.report(check.loss, now_s)
-            return
         try:
             connection = await self._connect(candidate)
         except NotSentError as error:
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -407,3 +407,14 @@
     assert len(sender.names) == sends
     if response.origin == Origin.REFUSAL:
         assert response.retry_after_s > 0
+
+
+# Guards against requests that are refused everywhere as deadly because targets
+# sent endless or invalid responses to them.
+@pytest.mark.parametrize(('is_invalid', 'checks'), [(False, 1), (True, 0)])
+def test_target_is_checked_for_a_crash_after_a_lost_connection(
+    *, is_invalid: bool, checks: int
+) -> None:
+    lost = replace(LOST, is_invalid=is_invalid)
+    _, sender = serve_request(make_state(idempotent=False), [lost])
+    assert sender.scheduled_checks == checks
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -179,9 +179,15 @@
     assert not environment.state.catalogue.is_cold('t', now_s + 3.1)
 
 
+# Guards against requests that are refused everywhere as deadly because their
+# target was ejected for another reason.
+@pytest.mark.parametrize('ejected', [False, True])
 def test_only_target_that_accepts_no_connection_is_reported_lost(
-    environment: Environment,
+    environment: Environment, *, ejected: bool
 ) -> None:
+    if ejected:
+        stats = environment.build_candidate().stats
+        stats.record_failure(environment.clock.now_s())
     environment.outcome = ConnectionLostError('reset')
     loss = Loss('digest', 't', 1)
 
