Count heads that are being received

Up to 64 KiB of a head, or of trailers, are held for each connection until it is complete, and did not count. Each is small, but thousands of connections may be open.

They count now, and always fit up to 16 KiB only. What does not fit is refused with 503 and its connection closed.

--- a/packages/entry/src/tamarackway_entry/memory/_budget.py
+++ b/packages/entry/src/tamarackway_entry/memory/_budget.py
@@ -45,17 +45,23 @@
         is_within = self._used_bytes + message_bytes <= self._max_bytes
         return is_within or message_bytes <= _SMALL_BYTES
 
-    def add(self, added_bytes: int, message_bytes: int) -> bool:
+    def add(
+        self,
+        added_bytes: int,
+        message_bytes: int,
+        small_bytes: int = _SMALL_BYTES,
+    ) -> bool:
         """Count bytes of a message; return whether it still fits.
 
         They count until they are released, whether they fit or not.
 
         :param added_bytes: number of bytes just received.
         :param message_bytes: number of bytes of that message so far.
+        :param small_bytes: size up to which it always fits.
         """
         self._used_bytes += added_bytes
         is_within = self._used_bytes <= self._max_bytes
-        return is_within or message_bytes <= _SMALL_BYTES
+        return is_within or message_bytes <= small_bytes
 
     def release(self, message_bytes: int) -> None:
         """Stop counting bytes, once their memory is free or counted anew.
--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -8,6 +8,8 @@
     RequestResponseCycle,
 )
 
+from tamarackway_entry.memory import PROCESS_BUDGET
+
 # Of everything around bodies: heads, chunk sizes and trailers. Counted from
 # the last byte of a body.
 _MAX_FRAMING_BYTES: Final = 65_536
@@ -17,6 +19,8 @@
 _MAX_DISCARDED_BYTES: Final = 67_108_864
 _HEAD_TIMEOUT_S: Final = 10.0
 _WRITE_TIMEOUT_S: Final = 30.0  # while the client hardly reads
+_SMALL_BYTES: Final = 16_384  # of a head; thousands may come at once
+_NO_MEMORY: Final = b'503 Service Unavailable'
 _TIMEOUT: Final = b'408 Request Timeout'
 _HEAD_TOO_LARGE: Final = b'431 Request Header Fields Too Large'
 
@@ -39,6 +43,7 @@
         self._in_head = False
         self._is_head_too_large = False
         self._framing_bytes = 0
+        self._counted_bytes = 0
         self._discarded_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
@@ -47,6 +52,8 @@
         """Handle the end of the connection; called by the event loop."""
         self._cancel_head_timer()
         self._cancel_write_timer()
+        self._framing_bytes = 0
+        self._count_framing()
         # uvicorn tells only the newest request of the client.
         running = self._running
         if running is not None and not running.response_complete:
@@ -60,8 +67,11 @@
         super().data_received(received)
         if self.transport.is_closing():
             return
+        fits = self._count_framing()
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             self._refuse(_HEAD_TOO_LARGE)
+        elif not fits:
+            self._refuse(_NO_MEMORY)
         elif not self._in_head:
             self._cancel_head_timer()
         elif self._head_timer is None:
@@ -132,6 +142,16 @@
         self._running = cycle
         super()._start_asgi_task(cycle, app)
 
+    def _count_framing(self) -> bool:
+        """Count the bytes that the parser holds; return whether they fit."""
+        added_bytes = self._framing_bytes - self._counted_bytes
+        if not added_bytes:
+            return True
+        self._counted_bytes = self._framing_bytes
+        return PROCESS_BUDGET.add(
+            added_bytes, self._framing_bytes, _SMALL_BYTES
+        )
+
     def _refuse(self, status: bytes) -> None:
         if not self._may_refuse():
             self.transport.abort()
--- a/packages/entry/src/tamarackway_entry/tests/test_serving.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_serving.py
@@ -10,6 +10,7 @@
 import pytest
 import uvicorn
 
+from tamarackway_entry.memory import PROCESS_BUDGET
 from tamarackway_entry.serving import _protocol as protocol_module
 from tamarackway_entry.serving._protocol import BoundedHttpProtocol
 
@@ -156,6 +157,40 @@
     assert len(server.scopes) <= (0 if status_line else 1)
 
 
+# Guards against heads that are received on thousands of connections at once.
+@pytest.mark.parametrize(
+    ('excess_bytes', 'head_bytes', 'status_line'),
+    [
+        (0, 60_000, b'HTTP/1.1 200 OK'),
+        (MIB * 1024, 16_000, b'HTTP/1.1 200 OK'),
+        (MIB * 1024, 17_000, b'HTTP/1.1 503 Service Unavailable'),
+    ],
+)
+@pytest.mark.parametrize('start', [GET[:-2] + b'a: ', POST + b'0\r\na: '])
+def test_heads_that_are_received_count(
+    start: bytes, excess_bytes: int, head_bytes: int, status_line: bytes
+) -> None:
+    async def run() -> Server:
+        server = Server()
+        server.released.set()
+        used_bytes = PROCESS_BUDGET.used_bytes
+        part = b'a' * (head_bytes - len(start))
+        await server.feed(start, part)
+        if not server.transport.closed:
+            counted_bytes = PROCESS_BUDGET.used_bytes - used_bytes
+            assert head_bytes - len(start) <= counted_bytes <= head_bytes
+        await server.feed(b'\r\n\r\n')
+        assert PROCESS_BUDGET.used_bytes == used_bytes
+        return server
+
+    PROCESS_BUDGET.add(excess_bytes, 0)
+    try:
+        server = asyncio.run(run())
+    finally:
+        PROCESS_BUDGET.release(excess_bytes)
+    assert server.status_line == status_line
+
+
 # Guards against refusals that a client takes for the response to a request
 # that is still running.
 @pytest.mark.parametrize(
