Cancel attempts that begin after the others were cancelled

A request that retries, or whose body ends, after the waiting requests of a shutdown were cancelled would have waited until the process ended and been cut without an answer. Found by review, shown by a unit test alone: test_attempts_are_cancelled_whenever_they_begin failed before for a late one.

--- a/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
@@ -36,6 +36,7 @@
         self._stop_callbacks: list[Callable[[], None]] = []
         self._schedule: ShutdownSchedule | None = None
         self._attempts: set[anyio.CancelScope] = set()
+        self._attempts_cancelled = False
 
     @property
     def is_leaving(self) -> bool:
@@ -60,7 +61,8 @@
         return self._schedule.admits(self._clock.now_s(), deadline_s)
 
     def cancel_attempts(self) -> None:
-        """Cancel whatever requests still wait for."""
+        """Cancel whatever requests still wait for, now and later."""
+        self._attempts_cancelled = True
         for scope in self._attempts:
             scope.cancel()
 
@@ -97,6 +99,8 @@
         """Track an attempt to serve a request, which a shutdown may cancel."""
         with anyio.CancelScope() as scope:
             self._attempts.add(scope)
+            if self._attempts_cancelled:
+                scope.cancel()
             try:
                 yield scope
             finally:
