--- a/packages/core/src/tamarackway_core/steering/_model.py
+++ b/packages/core/src/tamarackway_core/steering/_model.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from tamarackway_core.numbers import Serial
 from tamarackway_core.places import Address, Place
 
 
@@ -125,7 +126,7 @@
     """
 
     name: str
-    incarnation: int
+    incarnation: Serial
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from tamarackway_core.limits import TargetRateLimit
+from tamarackway_core.numbers import Duration, Rate, Serial
+from tamarackway_core.places import parse_address
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import LeavingTarget
 
@@ -31,6 +33,14 @@
     ready: bool = False
     leaving: bool = False
 
+    def __post_init__(self) -> None:
+        """Check the addresses, which come from other processes.
+
+        :raises SettingsError: if one is not an IP address with a port.
+        """
+        parse_address(self.callers)
+        parse_address(self.peers)
+
 
 @dataclass(frozen=True, slots=True)
 class FleetBeat:
@@ -54,12 +64,12 @@
 
     name: str
     member: FleetMember | None
-    positions: Mapping[str, int]
-    ages_s: Mapping[str, float]
+    positions: Mapping[str, Serial]
+    ages_s: Mapping[str, Duration]
     store_answers: bool
-    rates: Mapping[str, float]
+    rates: Mapping[str, Rate]
     losses: tuple[Loss, ...] = ()
-    known_from: Mapping[str, int] = field(default_factory=dict)
+    known_from: Mapping[str, Serial] = field(default_factory=dict)
     rate_limits: tuple[TargetRateLimit, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
 
@@ -76,7 +86,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: Serial
     removed: bool = False
 
 
@@ -93,7 +103,7 @@
     """
 
     table: str
-    after: int
-    position: int
+    after: Serial
+    position: Serial
     rows: tuple[StoredRow, ...]
     after_outage: bool = False
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -12,6 +12,7 @@
 
 from tamarackway_entry.forwarding._announcements import AnnouncementRecorder
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
+from tamarackway_entry.forwarding._connections import TargetConnections
 from tamarackway_entry.forwarding._model import ForwardRequest
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
@@ -19,10 +20,10 @@
 from tamarackway_entry.upstream import (
     Connection,
     ConnectionLostError,
-    IdleConnectionPool,
     InvalidResponseError,
     NotSentError,
     Response,
+    ResponseTooLargeError,
     connect,
 )
 
@@ -68,12 +69,14 @@
     :param response: valid response of the target, if there is one.
     :param metadata: metadata of that response.
     :param error: description of the failure, for logs.
+    :param is_invalid: whether the target sent something that is no response.
     """
 
     outcome: AttemptOutcome
     response: Response | None = None
     metadata: ResponseMetadata | None = None
     error: str = ''
+    is_invalid: bool = False
 
     @property
     def was_sent(self) -> bool:
@@ -104,18 +107,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _TargetPool:
-    """Idle connections to one incarnation of a target."""
+    """Connections to one incarnation of a target."""
 
     incarnation: int
     address: Address
-    idle: IdleConnectionPool
+    connections: TargetConnections
 
     def belongs_to(self, record: TargetRecord) -> bool:
-        """Return whether the connections lead to a target."""
-        return (self.incarnation, self.address) == (
+        """Return whether the connections lead to a target, and may be used."""
+        is_same = (self.incarnation, self.address) == (
             record.incarnation,
             record.address,
         )
+        return is_same and not self.connections.is_retired
 
 
 class TargetSender:
@@ -168,8 +172,16 @@
                 )
         except NotSentError as error:
             attempt = AttemptResult(AttemptOutcome.NOT_SENT, error=str(error))
-        except (ConnectionLostError, InvalidResponseError) as error:
-            attempt = AttemptResult(AttemptOutcome.LOST, error=str(error))
+        except (
+            ConnectionLostError,
+            InvalidResponseError,
+            ResponseTooLargeError,
+        ) as error:
+            attempt = AttemptResult(
+                AttemptOutcome.LOST,
+                error=str(error),
+                is_invalid=isinstance(error, InvalidResponseError),
+            )
         except TimeoutError:
             attempt = AttemptResult(
                 AttemptOutcome.TIMED_OUT, error='no answer in time'
@@ -238,10 +250,12 @@
         at_most_once: bool,
     ) -> AttemptResult:
         name = candidate.record.name
-        pool = self._find_pool(candidate.record)
+        connections = self._find_connections(candidate.record)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
         max_idle_s = min(limit_s, self._max_idle_s.get(name, limit_s))
-        connection = pool.acquire(max_idle_s, self._clock.now_s())
+        connection = connections.acquire(
+            request.request_id, max_idle_s, self._clock.now_s()
+        )
         if connection is None:
             connection = await self._connect(candidate)
             if not self._is_current(candidate.record):
@@ -259,17 +273,18 @@
                 lambda received: self._matches_request(
                     received, request, connection
                 ),
+                request.body,
             )
         except BaseException:
             connection.close()
             raise
-        known = self._pools.get(name)
-        if known is None or known.idle is not pool:
-            connection.close()
-        pool.release(connection, self._clock.now_s())
-        return self._evaluate_response(candidate, response, sent_s)
+        attempt = self._evaluate_response(candidate, response, sent_s)
+        if attempt.outcome == AttemptOutcome.REFUSED:
+            connections.record_refusal(request.request_id)
+        connections.release(connection, self._clock.now_s())
+        return attempt
 
-    def _find_pool(self, record: TargetRecord) -> IdleConnectionPool:
+    def _find_connections(self, record: TargetRecord) -> TargetConnections:
         """Return the connections to a target, closing those to an earlier one.
 
         :param record: the target.
@@ -278,15 +293,15 @@
         if known is None or not known.belongs_to(record):
             self._close_pool(record.name)
             known = _TargetPool(
-                record.incarnation, record.address, IdleConnectionPool()
+                record.incarnation, record.address, TargetConnections()
             )
             self._pools[record.name] = known
-        return known.idle
+        return known.connections
 
     def _close_pool(self, name: str) -> None:
         known = self._pools.pop(name, None)
         if known is not None:
-            known.idle.close()
+            known.connections.retire()
 
     def _is_current(self, record: TargetRecord) -> bool:
         """Return whether a target still accepts requests as it was chosen."""
@@ -336,7 +351,9 @@
         success = _OK <= response.status < _FIRST_REDIRECT
         if success and not metadata.signed:
             return AttemptResult(
-                AttemptOutcome.LOST, error='the answer is not signed'
+                AttemptOutcome.LOST,
+                error='the answer is not signed',
+                is_invalid=True,
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
@@ -382,8 +399,18 @@
             self._record_run_time(candidate, run_s, now_s)
             return
         self._close_pool(candidate.record.name)
+        self._record_failure(candidate, attempt, now_s)
+
+    def _record_failure(
+        self, candidate: Candidate, attempt: AttemptResult, now_s: float
+    ) -> None:
         if attempt.outcome == AttemptOutcome.NOT_SENT:
-            ejection_s = stats.record_failure(now_s)
+            ejection_s = candidate.stats.record_failure(now_s)
+        elif attempt.is_invalid:
+            ejection_s = candidate.stats.record_invalid_response(now_s)
+        else:
+            return
+        if ejection_s:
             _log.warning(
                 'Target %s is ejected for %.1f s: %s.',
                 candidate.record.name,
