Refuse requests whose bodies end after the drain

Attempts were cancelled only if some were left when responses were due. Now they are cancelled before the servers close in any case, so that such a caller gets 503.

--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -85,7 +85,7 @@
             self._log_step('New requests are refused', schedule)
             if not await self._wait(self._is_drained, schedule.responses_due_s):
                 self._log_step('Unfinished requests are cancelled', schedule)
-                self._lifecycle.cancel_attempts()
+            self._lifecycle.cancel_attempts()
             await self._wait(self._close_servers, schedule.connections_closed_s)
             self._log_step('Drain finished', schedule)
             group.cancel_scope.cancel()
