Await responses for five sixths of the grace period

A request that was accepted before the signal, with more time than the grace period, was given up at 4.85 s of 6 s (1.85 s of 3 s) although its target would have finished it before the last sixth of the grace period.

Cause: the reserve for closing and for the end of the process was fixed, 1.15 s. The reserve is now 0.85 s, and less for grace periods below 5.1 s.

--- a/packages/core/src/tamarackway_core/shutdown/_schedule.py
+++ b/packages/core/src/tamarackway_core/shutdown/_schedule.py
@@ -4,9 +4,10 @@
 from typing import Final
 
 # The end of the grace period is left for what must follow the last response.
-_CLOSING_S: Final = 0.55  # the HTTP servers write responses and close
-_EXIT_S: Final = 0.6  # the interpreter ends; signals may be handled late
-_MIN_SERVING_FRACTION: Final = 0.5  # of short grace periods
+_CLOSING_S: Final = 0.45  # the HTTP servers write responses and close
+_EXIT_S: Final = 0.4  # the process ends; signals may be handled late
+# A response that comes later may be missed, not one that comes before.
+_MIN_SERVING_FRACTION: Final = 5 / 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +23,7 @@
 
     >>> schedule = ShutdownSchedule(100, grace_s=10, advice_lifetime_s=4)
     >>> schedule.admission_ends_s, schedule.responses_due_s
-    (104, 108.85)
+    (104, 109.15)
     """
 
     started_s: float
@@ -57,7 +58,6 @@
         )
 
     def _before_end_s(self, reserve_s: float) -> float:
-        serving_s = max(
-            self.grace_s - reserve_s, self.grace_s * _MIN_SERVING_FRACTION
-        )
-        return self.started_s + serving_s
+        longest_s = self.grace_s * (1 - _MIN_SERVING_FRACTION)
+        scale = min(longest_s / (_CLOSING_S + _EXIT_S), 1)
+        return self.started_s + self.grace_s - reserve_s * scale
