Answer running requests whatever their caller sends behind them

Cause: the bounds on callers, new since, aborted the connection when they could not refuse, because a response was still due. Now what follows is ignored, the requests that were received whole are answered, and then the connection is closed. A head is timed only while no response is due.

--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -42,6 +42,7 @@
         self._running: RequestResponseCycle | None = None
         self._in_head = False
         self._is_head_too_large = False
+        self._is_ending = False
         self._framing_bytes = 0
         self._counted_bytes = 0
         self._discarded_bytes = 0
@@ -51,7 +52,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection; called by the event loop."""
         self._cancel_head_timer()
-        self._cancel_write_timer()
+        _cancel(self._write_timer)
+        self._write_timer = None
         self._framing_bytes = 0
         self._count_framing()
         # uvicorn tells only the newest request of the client.
@@ -63,6 +65,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; called by the event loop."""
+        if self._is_ending:
+            return
         self._framing_bytes += len(received)
         super().data_received(received)
         if self.transport.is_closing():
@@ -70,14 +74,10 @@
         fits = self._count_framing()
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             self._refuse(_HEAD_TOO_LARGE)
-        elif not fits:
+        elif fits:
+            self._time_head()
+        else:
             self._refuse(_NO_MEMORY)
-        elif not self._in_head:
-            self._cancel_head_timer()
-        elif self._head_timer is None:
-            self._head_timer = self.loop.call_later(
-                _HEAD_TIMEOUT_S, self._refuse, _TIMEOUT
-            )
 
     def pause_writing(self) -> None:
         """Wait for the client to read; called by the event loop."""
@@ -89,7 +89,8 @@
 
     def resume_writing(self) -> None:
         """Continue to write; called by the event loop."""
-        self._cancel_write_timer()
+        _cancel(self._write_timer)
+        self._write_timer = None
         super().resume_writing()
 
     def on_message_begin(self) -> None:
@@ -112,6 +113,7 @@
             raise _ExcessError
         self._in_head = False
         self._framing_bytes = 0
+        self._cancel_head_timer()
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -136,12 +138,22 @@
         elif self._may_refuse():
             super().send_400_response(msg)
         else:
-            self.transport.abort()
+            self._end_after_responses()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._running = cycle
         super()._start_asgi_task(cycle, app)
 
+    def _time_head(self) -> None:
+        """Bound the time of a head, unless a response is still due."""
+        if self._in_head:
+            if self._head_timer is None and self._may_refuse():
+                self._head_timer = self.loop.call_later(
+                    _HEAD_TIMEOUT_S, self._refuse, _TIMEOUT
+                )
+        else:
+            self._cancel_head_timer()
+
     def _count_framing(self) -> bool:
         """Count the bytes that the parser holds; return whether they fit."""
         added_bytes = self._framing_bytes - self._counted_bytes
@@ -154,7 +166,7 @@
 
     def _refuse(self, status: bytes) -> None:
         if not self._may_refuse():
-            self.transport.abort()
+            self._end_after_responses()
             return
         self.transport.write(
             b'HTTP/1.1 %s\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
@@ -176,12 +188,22 @@
         is_unanswered = not (cycle.response_started or self.pipeline)
         return cycle.more_body and is_unanswered
 
+    def _end_after_responses(self) -> None:
+        """Answer the requests that were received whole, then close."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete or cycle.more_body:
+            self.transport.abort()
+            return
+        self._is_ending = True
+        self._framing_bytes = 0
+        self._count_framing()
+        cycle.keep_alive = False
+
     def _cancel_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _cancel_write_timer(self) -> None:
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
+        _cancel(self._head_timer)
+        self._head_timer = None
+
+
+def _cancel(timer: asyncio.TimerHandle | None) -> None:
+    if timer is not None:
+        timer.cancel()
