Bound what peers may send before they have proved a key

Instances exceeded their memory when strangers connected to the address for peers: 60 connections that each sent the start of a message of 8 MiB raised a daemon with a limit of 200 MB to 515 MB, without any key (trial).

A connection that was refused was read for 10 s more.

A connection is now aborted once it has sent 16 KiB without a proof, from the first byte of its handshake on, in both directions: an address may have passed to another server. The mark is set before this side proves its own key, so that the first requests of a peer never count.

Evidence: test_strangers_among_peers_do_not_exhaust_memory (real daemon), and two rows each of test_stranger_who_sends_much_is_disconnected_at_once and of test_server_without_a_key_that_sends_much_is_left_at_once failed before and pass now.

--- a/packages/entry/src/tamarackway_entry/links/_auth.py
+++ b/packages/entry/src/tamarackway_entry/links/_auth.py
@@ -13,7 +13,9 @@
 
 
 class FrameTransport(Protocol):
-    """The methods of a websocket connection that authentication needs."""
+    """What authentication needs of a websocket connection."""
+
+    is_authenticated: bool
 
     async def send(self, message: bytes, /) -> None:
         """Send one binary frame."""
@@ -29,6 +31,9 @@
 ) -> bool:
     """Authenticate both sides and return whether the peer proved a key.
 
+    The transport is marked before this side proves its own key: the peer may
+    send requests as soon as it has read that proof.
+
     :param transport: the connection.
     :param keys: shared secrets; the first one signs, all are accepted.
     :param role: ``client`` or ``server``, which prevents reflection attacks.
@@ -45,23 +50,24 @@
             return False
         if role == 'client':
             await transport.send(_sign(keys[0], role, own_nonce, peer_nonce))
-            return _verify(
+            transport.is_authenticated = _verify(
                 await transport.recv(),
                 keys,
                 'server',
                 peer_nonce,
                 own_nonce,
             )
-        if not _verify(
+            return transport.is_authenticated
+        transport.is_authenticated = _verify(
             await transport.recv(),
             keys,
             'client',
             peer_nonce,
             own_nonce,
-        ):
-            return False
-        await transport.send(_sign(keys[0], role, own_nonce, peer_nonce))
-        return True
+        )
+        if transport.is_authenticated:
+            await transport.send(_sign(keys[0], role, own_nonce, peer_nonce))
+            return True
     return False
 
 
--- a/packages/entry/src/tamarackway_entry/links/_link.py
+++ b/packages/entry/src/tamarackway_entry/links/_link.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections.abc import Sequence
-from typing import Any, Final
+from typing import Any, Final, cast
 
 import anyio
 import websockets
@@ -20,6 +20,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 
 from tamarackway_entry.links._auth import authenticate
+from tamarackway_entry.links._connections import PeerClientConnection
 from tamarackway_entry.telemetry import component_logger
 
 _CONNECT_TIMEOUT_S: Final = 2.0
@@ -116,9 +117,11 @@
             'ping_interval': None,
             'compression': None,
             'proxy': None,
+            'create_connection': PeerClientConnection,
         }
         async with connect(f'ws://{self.address}/', **options) as connection:
-            if not await authenticate(connection, self._keys, 'client'):
+            transport = cast(PeerClientConnection, connection)
+            if not await authenticate(transport, self._keys, 'client'):
                 _log.warning(
                     '%s failed peer authentication.',
                     self.address,
--- a/packages/entry/src/tamarackway_entry/links/_server.py
+++ b/packages/entry/src/tamarackway_entry/links/_server.py
@@ -1,7 +1,7 @@
 """Server for authenticated connections from peers."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Final
+from typing import Final, cast
 
 import anyio
 import websockets
@@ -17,9 +17,11 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from tamarackway_entry.links._auth import authenticate
+from tamarackway_entry.links._connections import PeerServerConnection
 from tamarackway_entry.telemetry import component_logger
 
 _OPEN_TIMEOUT_S: Final = 2.0
+_CLOSE_TIMEOUT_S: Final = 1.0
 _MAX_UNAUTHENTICATED: Final = 64
 _POLICY_VIOLATION: Final = 1008
 _log = component_logger('peers')
@@ -54,9 +56,11 @@
             self._address.port,
             max_size=MAX_MESSAGE_BYTES,
             open_timeout=_OPEN_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
             ping_interval=None,
             compression=None,
             server_header=None,
+            create_connection=PeerServerConnection,
         ):
             await anyio.sleep_forever()
 
@@ -67,7 +71,7 @@
         self._unauthenticated += 1
         try:
             is_authenticated = await authenticate(
-                connection,
+                cast(PeerServerConnection, connection),
                 self._keys,
                 'server',
             )
--- a/packages/entry/src/tamarackway_entry/tests/test_links.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_links.py
@@ -1,17 +1,26 @@
-"""Tests of links to peers whose bytes end early."""
+"""Tests of links to peers whose bytes end early or never."""
 
 import base64
 import hashlib
 import re
 from collections.abc import Callable
+from contextlib import suppress
 
 import anyio
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 from tamarackway_core.places import Address
-from tamarackway_core.wire import Message
+from tamarackway_core.wire import (
+    Message,
+    RowsRelay,
+    StoredRow,
+)
 
-from tamarackway_entry.links import PeerLink, PeerServer
+from tamarackway_entry.links import (
+    PeerLink,
+    PeerServer,
+    PeerUnreachableError,
+)
 from tamarackway_entry.links import _link as link_module
 
 HOST = '127.0.0.1'
@@ -25,6 +34,25 @@
 )
 
 
+# The start of one message of 8 MiB, of a message in many frames, and of a head.
+ENDLESS = (
+    b'\x82\x7f' + (2**23 - 1).to_bytes(8) + b'x' * 32_768,
+    b'\x02\x00' + b'\x00\x00' * 16_384,
+    b'\x89\x00' * 16_384,
+)
+KEYS = ('secret',)
+MAX_REJECTION_S = 1.5  # below the time-out of authentication
+
+
+def mask(frames: bytes) -> bytes:
+    """Return frames as a client sends them, masked with zeros."""
+    head, _, payload = frames.partition(b'x')
+    if payload:
+        return head[:1] + b'\xff' + head[2:] + bytes(4) + payload
+    pairs = zip(frames[::2], frames[1::2], strict=True)
+    return b''.join(bytes((first, 0x80)) + bytes(4) for first, _ in pairs)
+
+
 def accept(head: bytes) -> bytes:
     """Return a response to a handshake, and a first frame."""
     match = KEY.search(head)
@@ -111,3 +139,96 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+async def find_port() -> int:
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port: int = listener.extra_attributes[SocketAttribute.local_address]()[1]
+    await listener.aclose()
+    return port
+
+
+async def wait_for_end(stream: SocketStream) -> None:
+    with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            await stream.receive()
+
+
+async def reply(message: Message) -> Message:
+    await anyio.sleep(0)
+    return message
+
+
+# Guards against strangers at the address for peers that fill the memory of the
+# instance: each could send messages of 8 MiB before it had proved a key.
+@pytest.mark.parametrize('frames', ENDLESS)
+def test_stranger_who_sends_much_is_disconnected_at_once(
+    frames: bytes,
+) -> None:
+    async def run() -> None:
+        port = await find_port()
+        server = PeerServer(Address(HOST, port), KEYS, reply)
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            await anyio.sleep(0.1)
+            stream = await anyio.connect_tcp(HOST, port)
+            await stream.send(REQUEST + mask(frames))
+            with anyio.fail_after(MAX_REJECTION_S):
+                await wait_for_end(stream)
+            await stream.aclose()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+# Guards against the same from a server that has taken over a peer's address.
+@pytest.mark.parametrize('frames', ENDLESS)
+def test_server_without_a_key_that_sends_much_is_left_at_once(
+    monkeypatch: pytest.MonkeyPatch, frames: bytes
+) -> None:
+    monkeypatch.setattr(link_module, '_MAX_RETRY_S', 9)
+    ended = anyio.Event()
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            await stream.send(accept(await stream.receive()) + frames)
+            await wait_for_end(stream)
+            ended.set()
+
+    async def run() -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port: int = listener.extra_attributes[SocketAttribute.local_address]()[
+            1
+        ]
+        link = PeerLink(Address(HOST, port), HOST, KEYS)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            group.start_soon(link.run)
+            with anyio.fail_after(MAX_REJECTION_S):
+                await ended.wait()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+# Guards against bounds on strangers that hold for peers with a key, too.
+def test_peer_with_a_key_may_send_much() -> None:
+    async def run() -> None:
+        port = await find_port()
+        server = PeerServer(Address(HOST, port), KEYS, reply)
+        link = PeerLink(Address(HOST, port), HOST, KEYS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            group.start_soon(link.run)
+            sent = RowsRelay(
+                'table', 0, 1, (StoredRow('key', b'x' * 1_000_000, 1),)
+            )
+            with anyio.fail_after(10):
+                while True:
+                    with suppress(PeerUnreachableError):
+                        assert await link.request(sent, 5) == sent
+                        break
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/packages/entry/src/tamarackway_entry/tests/test_parts.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_parts.py
@@ -28,6 +28,7 @@
         self._incoming = incoming
         self._outgoing = outgoing
         self.sent = 0
+        self.is_authenticated = False
 
     async def send(self, message: bytes, /) -> None:
         self.sent += 1
@@ -73,6 +74,7 @@
         group.start_soon(run, client, client_keys, 'client')
         group.start_soon(run, server, server_keys, 'server')
     assert all(results) is authenticated
+    assert client.is_authenticated is authenticated
 
 
 async def test_server_sends_unauthenticated_client_only_a_nonce() -> None:
@@ -81,6 +83,7 @@
         await client.send(b'x' * 32)
     assert not await authenticate(server, (KEY,), 'server')
     assert server.sent == 1
+    assert not server.is_authenticated
 
 
 def test_kernel_finds_components_by_name_and_type() -> None:
