Disconnect peers that send no heartbeats

Each machine that lost its power left one connection at every other instance for as long as that ran: the receiving side of a link waited for the next request without a time-out, and the system tells nothing of a peer that is gone. The connections count against the descriptors of the process.

A peer that has sent nothing for 30 s (60 heartbeats with tamarackd) is now disconnected; the sending side connects again if it still runs.

Evidence: test_peer_without_heartbeats_is_disconnected failed before, as the connection stayed, and passes now.

--- a/packages/entry/src/tamarackway_entry/links/_server.py
+++ b/packages/entry/src/tamarackway_entry/links/_server.py
@@ -5,6 +5,7 @@
 
 import anyio
 import websockets
+from anyio.abc import TaskGroup
 from tamarackway_core.errors import WireError
 from tamarackway_core.places import Address
 from tamarackway_core.wire import (
@@ -23,6 +24,7 @@
 _OPEN_TIMEOUT_S: Final = 2.0
 _CLOSE_TIMEOUT_S: Final = 1.0
 _MAX_UNAUTHENTICATED: Final = 64
+_IDLE_TIMEOUT_S: Final = 30.0  # several times the longest heartbeat interval
 _POLICY_VIOLATION: Final = 1008
 _log = component_logger('peers')
 Handler = Callable[[Message], Awaitable[Message]]
@@ -34,6 +36,8 @@
     :param address: address to listen on.
     :param keys: shared secrets.
     :param handler: returns the reply to a request.
+    :param idle_timeout_s: time without a request after which a peer is
+        disconnected, since it may have ended without closing its connection.
     """
 
     def __init__(
@@ -41,8 +45,10 @@
         address: Address,
         keys: Sequence[str],
         handler: Handler,
+        idle_timeout_s: float = _IDLE_TIMEOUT_S,
     ) -> None:
         """Create a server that does not listen yet."""
+        self._idle_timeout_s = idle_timeout_s
         self._address = address
         self._keys = keys
         self._handler = handler
@@ -89,16 +95,27 @@
     async def _serve_peer(self, connection: ServerConnection) -> None:
         async with anyio.create_task_group() as group:
             try:
-                async for frame in connection:
-                    envelope = _decode_frame(frame)
-                    group.start_soon(self._handle_request, connection, envelope)
+                await self._read_requests(connection, group)
             except WireError as error:
                 host = connection.remote_address
                 _log.warning('Malformed message from %s: %s.', host, error)
             except websockets.ConnectionClosed:
                 _log.debug('A peer closed its connection.')
+            except TimeoutError:
+                host = connection.remote_address
+                _log.info('Disconnected %s, which sends no heartbeats.', host)
+                connection.transport.abort()
             group.cancel_scope.cancel()
 
+    async def _read_requests(
+        self, connection: ServerConnection, group: TaskGroup
+    ) -> None:
+        while True:
+            with anyio.fail_after(self._idle_timeout_s):
+                frame = await connection.recv()
+            envelope = _decode_frame(frame)
+            group.start_soon(self._handle_request, connection, envelope)
+
     async def _handle_request(
         self,
         connection: ServerConnection,
--- a/packages/entry/src/tamarackway_entry/peers/_service.py
+++ b/packages/entry/src/tamarackway_entry/peers/_service.py
@@ -23,6 +23,7 @@
 
 _HEARTBEAT_TIMEOUT_S: Final = 1.0
 _REQUEST_TIMEOUT_S: Final = 1.0
+_MAX_MISSED_HEARTBEATS: Final = 60  # then a peer is disconnected
 _log = component_logger('peers')
 _MessageT = TypeVar('_MessageT')
 _Handler = Callable[[Any], Awaitable[Message]]
@@ -90,6 +91,7 @@
             parse_address(self._settings.instance.peers),
             self._settings.peers.keys,
             self._dispatch,
+            _MAX_MISSED_HEARTBEATS * self._settings.peers.heartbeat_s,
         )
         async with anyio.create_task_group() as group:
             group.start_soon(server.run)
--- a/packages/entry/src/tamarackway_entry/tests/test_links.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Tests of links to peers whose bytes end early or never."""
+"""Tests of links to peers whose bytes end early, never, or not at all."""
 
 import base64
 import hashlib
@@ -8,12 +8,17 @@
 
 import anyio
 import pytest
+import websockets
 from anyio.abc import SocketAttribute, SocketStream
 from tamarackway_core.places import Address
 from tamarackway_core.wire import (
+    Envelope,
     Message,
+    Ok,
     RowsRelay,
     StoredRow,
+    decode,
+    encode,
 )
 
 from tamarackway_entry.links import (
@@ -22,6 +27,8 @@
     PeerUnreachableError,
 )
 from tamarackway_entry.links import _link as link_module
+from tamarackway_entry.links._auth import authenticate
+from tamarackway_entry.links._connections import PeerClientConnection
 
 HOST = '127.0.0.1'
 WEBSOCKET_GUID = b'258EAFA5-E914-47DA-95CA-C5AB0DC85B11'
@@ -232,3 +239,35 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+# Guards against connections that are kept for ever after the machine of a peer
+# has ended without closing them.
+def test_peer_without_heartbeats_is_disconnected() -> None:
+    async def run() -> None:
+        port = await find_port()
+        server = PeerServer(Address(HOST, port), KEYS, reply, 0.3)
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            await anyio.sleep(0.1)
+            async with websockets.connect(
+                f'ws://{HOST}:{port}/',
+                ping_interval=None,
+                create_connection=PeerClientConnection,
+            ) as connection:
+                assert isinstance(connection, PeerClientConnection)
+                assert await authenticate(connection, KEYS, 'client')
+                for number in range(5):
+                    await connection.send(encode(Envelope(number, Ok())))
+                    answer = await connection.recv()
+                    assert isinstance(answer, bytes)
+                    assert decode(answer).number == number
+                    await anyio.sleep(0.1)
+                with (
+                    anyio.fail_after(5),
+                    pytest.raises(websockets.ConnectionClosed),
+                ):
+                    await connection.recv()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
