Ignore offers to switch protocols in requests

A request with 'Connection: Upgrade' and 'Upgrade: h2c', as some client libraries send by default, ran at a target without its body, marked as complete. If the body arrived a moment later, it was taken for the next request: what looked like a request inside it ran as one. A request that followed in the same packet got no response.

The parser takes the offer as accepted, skips the body and stops; uvicorn drops what it has not parsed, and goes on with the next packet.

The offer is now ignored, as RFC 9110 allows: the head is parsed once more without it, and then the rest. CONNECT, which is an offer by its method, is refused. Responses are not concerned: only status 101 stops their parser, and ends the exchange.

--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -9,6 +9,7 @@
 )
 
 from tamarackway_entry.memory import PROCESS_BUDGET
+from tamarackway_entry.serving._parser import RequestParser
 
 # Of everything around bodies: heads, chunk sizes and trailers. Counted from
 # the last byte of a body.
@@ -33,12 +34,14 @@
     """Bounds the memory and the time that one connection may take.
 
     uvicorn's protocol keeps headers without a limit, also those that follow a
-    body (trailers), and queues all requests that a client sends at once.
+    body (trailers), and queues all requests that a client sends at once. It
+    loses the body of a request that offers to switch protocols.
     """
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Start without a request."""
         super().__init__(*arguments, **options)
+        self.parser = RequestParser(self)  # type: ignore[assignment]
         self._running: RequestResponseCycle | None = None
         self._in_head = False
         self._is_head_too_large = False
@@ -109,6 +112,8 @@
 
     def on_headers_complete(self) -> None:
         """Start or queue a request; called by the parser."""
+        if self.parser.should_upgrade():
+            return  # the parser repeats the head
         if len(self.pipeline) == _MAX_PIPELINED:
             raise _ExcessError
         self._in_head = False
@@ -127,6 +132,8 @@
 
     def on_message_complete(self) -> None:
         """End a request; called by the parser."""
+        if self.parser.should_upgrade():
+            return
         self._framing_bytes = 0
         self._discarded_bytes = 0
         super().on_message_complete()
--- a/packages/entry/src/tamarackway_entry/tests/test_serving.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_serving.py
@@ -281,3 +281,44 @@
 
     assert asyncio.run(run(resumes=False))
     assert not asyncio.run(run(resumes=True))
+
+
+# Guards against requests that lose their body, or the requests behind them, by
+# an offer to switch protocols.
+@pytest.mark.parametrize('head', [GET, POST])
+@pytest.mark.parametrize('size', [1, 7, 4096])
+def test_offer_to_switch_protocols_is_ignored(head: bytes, size: int) -> None:
+    offer = b'connection: Upgrade\r\nUpgrade: h2c\r\n\r\n'
+    body = b'2\r\nok\r\n0\r\n\r\n' if head == POST else b''
+    sent = (head[:-2] + offer + body) * 2 + head + body
+
+    async def run() -> Server:
+        server = Server()
+        server.released.set()
+        await server.feed(
+            *(sent[start : start + size] for start in range(0, len(sent), size))
+        )
+        for _ in range(10):
+            await settle()
+        return server
+
+    server = asyncio.run(run())
+    assert server.transport.written.count(b'200 OK') == 3
+    assert len(server.scopes) == 3
+    assert {scope['method'] for scope in server.scopes} == {
+        head[:4].strip().decode()
+    }
+    assert not server.transport.closed
+
+
+@pytest.mark.parametrize('target', [b'h:80', b'/x'])
+def test_connect_is_refused(target: bytes) -> None:
+    async def run() -> Server:
+        server = Server()
+        server.released.set()
+        await server.feed(b'CONNECT %s HTTP/1.1\r\nhost: h\r\n\r\n' % target)
+        return server
+
+    server = asyncio.run(run())
+    assert server.status_line == b'HTTP/1.1 400 Bad Request'
+    assert not server.scopes
