Close connections whose clients send nothing more

A connection stayed for as long as the process ran if its client ended without closing it before its first request, or after bytes that begin no request, such as an empty line. Each one counts against the descriptors of an instance.

Cause: the HTTP server starts its time-out for idle connections at the end of a response, and any received byte stops it. The time-out now also runs from the start of a connection, and again after bytes that leave it idle.

--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 protocol of uvicorn with bounds on what a client may send."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Final
 
 from uvicorn.protocols.http.httptools_impl import (
@@ -30,6 +31,28 @@
     """The client sent more headers or requests than allowed."""
 
 
+class _Timer:
+    """Calls a function after a time, unless it is cancelled before."""
+
+    def __init__(self) -> None:
+        """Do not run yet."""
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(
+        self, delay_s: float, callback: Callable[..., None], *arguments: object
+    ) -> None:
+        """Start the timer, unless it runs."""
+        if self._handle is None:
+            loop = asyncio.get_running_loop()
+            self._handle = loop.call_later(delay_s, callback, *arguments)
+
+    def cancel(self) -> None:
+        """Stop the timer."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Bounds the memory and the time that one connection may take.
 
@@ -49,14 +72,19 @@
         self._framing_bytes = 0
         self._counted_bytes = 0
         self._discarded_bytes = 0
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._write_timer: asyncio.TimerHandle | None = None
+        self._head_timer = _Timer()
+        self._write_timer = _Timer()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first request; called by the event loop."""
+        super().connection_made(transport)  # type: ignore[arg-type]
+        self._time_client()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection; called by the event loop."""
-        self._cancel_head_timer()
-        _cancel(self._write_timer)
-        self._write_timer = None
+        self._unset_keepalive_if_required()
+        self._head_timer.cancel()
+        self._write_timer.cancel()
         self._framing_bytes = 0
         self._count_framing()
         # uvicorn tells only the newest request of the client.
@@ -78,22 +106,18 @@
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             self._refuse(_HEAD_TOO_LARGE)
         elif fits:
-            self._time_head()
+            self._time_client()
         else:
             self._refuse(_NO_MEMORY)
 
     def pause_writing(self) -> None:
         """Wait for the client to read; called by the event loop."""
         super().pause_writing()
-        if self._write_timer is None:
-            self._write_timer = self.loop.call_later(
-                _WRITE_TIMEOUT_S, self.transport.abort
-            )
+        self._write_timer.start(_WRITE_TIMEOUT_S, self.transport.abort)
 
     def resume_writing(self) -> None:
         """Continue to write; called by the event loop."""
-        _cancel(self._write_timer)
-        self._write_timer = None
+        self._write_timer.cancel()
         super().resume_writing()
 
     def on_message_begin(self) -> None:
@@ -118,7 +142,7 @@
             raise _ExcessError
         self._in_head = False
         self._framing_bytes = 0
-        self._cancel_head_timer()
+        self._head_timer.cancel()
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
@@ -151,15 +175,22 @@
         self._running = cycle
         super()._start_asgi_task(cycle, app)
 
-    def _time_head(self) -> None:
-        """Bound the time of a head, unless a response is still due."""
+    def _time_client(self) -> None:
+        """Bound the time of a head, or until the next request.
+
+        There is no bound while a response is due: its end sets the next one.
+        """
+        cycle = self.cycle
         if self._in_head:
-            if self._head_timer is None and self._may_refuse():
-                self._head_timer = self.loop.call_later(
-                    _HEAD_TIMEOUT_S, self._refuse, _TIMEOUT
-                )
-        else:
-            self._cancel_head_timer()
+            if self._may_refuse():
+                self._head_timer.start(_HEAD_TIMEOUT_S, self._refuse, _TIMEOUT)
+            return
+        self._head_timer.cancel()
+        is_idle = cycle is None or cycle.response_complete
+        if is_idle and self.timeout_keep_alive_task is None:
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def _count_framing(self) -> bool:
         """Count the bytes that the parser holds; return whether they fit."""
@@ -205,12 +236,3 @@
         self._framing_bytes = 0
         self._count_framing()
         cycle.keep_alive = False
-
-    def _cancel_head_timer(self) -> None:
-        _cancel(self._head_timer)
-        self._head_timer = None
-
-
-def _cancel(timer: asyncio.TimerHandle | None) -> None:
-    if timer is not None:
-        timer.cancel()
--- a/packages/entry/src/tamarackway_entry/tests/test_serving.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_serving.py
@@ -53,7 +53,7 @@
 class Server:
     """Runs requests that have arrived whole, each until it is released."""
 
-    def __init__(self) -> None:
+    def __init__(self, keep_alive_s: float = 5) -> None:
         self.scopes: list[dict[str, Any]] = []
         self.gone = 0
         self.released = asyncio.Event()
@@ -64,6 +64,7 @@
             ws='none',
             lifespan='off',
             log_config=None,
+            timeout_keep_alive=keep_alive_s,  # type: ignore[arg-type]
         )
         config.load()
         state = uvicorn.server.ServerState()
@@ -322,3 +323,28 @@
     server = asyncio.run(run())
     assert server.status_line == b'HTTP/1.1 400 Bad Request'
     assert not server.scopes
+
+
+# Guards against connections that last for ever because their client has ended
+# without closing them, or sends nothing more.
+@pytest.mark.parametrize(
+    ('sent', 'is_closed'),
+    [
+        ((), True),
+        ((b'\r\n',), True),
+        ((GET,), True),
+        ((GET, b'\r\n'), True),
+        ((POST + b'2\r\nok\r\n',), False),
+    ],
+)
+def test_idle_connection_is_closed(
+    sent: tuple[bytes, ...], *, is_closed: bool
+) -> None:
+    async def run() -> bool:
+        server = Server(keep_alive_s=0.02)
+        server.released.set()
+        await server.feed(*sent)
+        await asyncio.sleep(0.1)
+        return server.transport.closed
+
+    assert asyncio.run(run()) is is_closed
