Bound the time that bodies take at tamarackd

A caller that sent a part of a body and stalled kept its request in progress for ever, and an operator a connection with a part of a sheet. A shutdown then waited for the full 60 s.

Cause: both bodies were read without a time-out; only the platform's interface had one. A body now has until the deadline of its request, and is refused as not run, which is true since nothing of it was sent. A sheet has 30 s (408).

--- a/packages/entry/src/tamarackway_entry/admin/_app.py
+++ b/packages/entry/src/tamarackway_entry/admin/_app.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+import anyio
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
@@ -32,6 +33,7 @@
 from tamarackway_entry.telemetry import Metrics, component_logger
 
 _MAX_SHEET_BYTES: Final = 4_194_304
+_SHEET_TIMEOUT_S: Final = 30.0
 _MAX_VERSION: Final = 1_000_000_000_000
 _log = component_logger('admin')
 _Endpoint = Callable[[Request], Awaitable[Response]]
@@ -280,15 +282,23 @@
 
 async def _read_sheet(request: Request) -> str | Response:
     body = bytearray()
-    async for part in request.stream():
-        body += part
-        if len(body) > _MAX_SHEET_BYTES:
-            return _problem_response(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                'sheet-too-large',
-                f'the sheet is larger than {_MAX_SHEET_BYTES} bytes',
-                'split it or remove rows',
-            )
+    with anyio.move_on_after(_SHEET_TIMEOUT_S) as scope:
+        async for part in request.stream():
+            body += part
+            if len(body) > _MAX_SHEET_BYTES:
+                return _problem_response(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    'sheet-too-large',
+                    f'the sheet is larger than {_MAX_SHEET_BYTES} bytes',
+                    'split it or remove rows',
+                )
+    if scope.cancelled_caught:
+        return _problem_response(
+            HTTPStatus.REQUEST_TIMEOUT,
+            'sheet-timeout',
+            f'the sheet did not arrive within {_SHEET_TIMEOUT_S:.0f} s',
+            'send it again',
+        )
     try:
         sheet = body.decode()
     except UnicodeDecodeError as error:
--- a/packages/entry/src/tamarackway_entry/callers/_parse.py
+++ b/packages/entry/src/tamarackway_entry/callers/_parse.py
@@ -3,6 +3,7 @@
 import uuid
 from typing import Final
 
+import anyio
 from tamarackway_core.errors import Reason, Refusal
 from tamarackway_core.numbers import parse_integer
 from tamarackway_core.once import digest_request
@@ -23,6 +24,8 @@
 _MAX_TIMEOUT_MS: Final = 1_000_000_000_000
 _MS_PER_S: Final = 1000
 _MAX_NAME_LENGTH: Final = 64
+# A body that has arrived is read whatever the deadline of its request.
+_MIN_BODY_TIMEOUT_S: Final = 0.1
 _STRIPPED_HEADERS: Final = frozenset((
     'host',
     'connection',
@@ -86,7 +89,12 @@
         attempt = parse_attempt(headers)
         if isinstance(attempt, Refusal):
             return attempt
-        body = await read_body(headers, receive, self._max_body_bytes)
+        body = await read_body(
+            headers,
+            receive,
+            self._max_body_bytes,
+            deadline_s - self._clock.now_s(),
+        )
         if isinstance(body, Refusal):
             return body
         query = scope['query_string'].decode('latin-1')
@@ -175,12 +183,14 @@
     headers: Headers,
     receive: Receive,
     max_bytes: int,
+    timeout_s: float,
 ) -> bytes | Refusal:
     """Read the complete body of a request, or return a refusal.
 
     :param headers: headers by lower-case name.
     :param receive: ASGI function.
     :param max_bytes: maximum size of the body.
+    :param timeout_s: longest time until the end of the body in seconds.
     """
     too_large = Refusal(
         Reason.BODY_TOO_LARGE,
@@ -191,18 +201,20 @@
         return too_large
     body = bytearray()
     has_more = True
-    while has_more:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            return Refusal(
-                Reason.MALFORMED,
-                'the connection was closed before the end of the body',
-            )
-        body += message.get('body', b'')
-        if len(body) > max_bytes:
-            return too_large
-        has_more = message.get('more_body', False)
-    return bytes(body)
+    with anyio.move_on_after(max(timeout_s, _MIN_BODY_TIMEOUT_S)):
+        while has_more:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                return Refusal(
+                    Reason.MALFORMED,
+                    'the connection was closed before the end of the body',
+                )
+            body += message.get('body', b'')
+            if len(body) > max_bytes:
+                return too_large
+            has_more = message.get('more_body', False)
+        return bytes(body)
+    return Refusal(Reason.DEADLINE, 'the body did not arrive in time')
 
 
 def read_headers(scope: Message) -> Headers:
