Tell whether a late answer is that of the instance or of the test

Tests that fail beside load could not tell who was late: the instance, or the process of the test, whose threads are the stand-ins and the callers. An instance now logs when its housekeeping ran 0.2 s late or more, and counts that time (tamarackway_stalled_seconds). No logic changes.

--- a/packages/entry/src/tamarackway_entry/instance/_housekeeping.py
+++ b/packages/entry/src/tamarackway_entry/instance/_housekeeping.py
@@ -10,6 +10,7 @@
     SteeringState,
     TargetSender,
 )
+from tamarackway_entry.kernel import Clock
 from tamarackway_entry.telemetry import (
     BoundedLogHandler,
     Metrics,
@@ -17,6 +18,7 @@
 )
 
 _INTERVAL_S: Final = 0.2
+_MIN_STALL_S: Final = 0.2
 _log = component_logger('daemon')
 
 
@@ -28,6 +30,7 @@
     :param sender: holds the connections to targets.
     :param log_handler: handler that buffers log lines.
     :param metrics: metrics of the daemon.
+    :param clock: clocks of the daemon.
     :param count_store_calls: returns the number of store calls so far.
     :param count_live_peers: returns the number of live peers.
     """
@@ -39,6 +42,7 @@
         sender: TargetSender,
         log_handler: BoundedLogHandler,
         metrics: Metrics,
+        clock: Clock,
         count_store_calls: Callable[[], int],
         count_live_peers: Callable[[], int],
     ) -> None:
@@ -48,6 +52,7 @@
         self._sender = sender
         self._log_handler = log_handler
         self._metrics = metrics
+        self._clock = clock
         self._count_store_calls = count_store_calls
         self._count_live_peers = count_live_peers
         self._reported_dropped = 0
@@ -55,13 +60,21 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
+            started_s = self._clock.now_s()
             await anyio.sleep(_INTERVAL_S)
+            self._report_stall(self._clock.now_s() - started_s - _INTERVAL_S)
             self._updater.remove_expired()
             self._sender.close_removed(self._state.catalogue.names)
             self._log_handler.flush()
             self._report_dropped()
             self._update_metrics()
 
+    def _report_stall(self, late_s: float) -> None:
+        """Report that requests may have waited for the processor."""
+        if late_s >= _MIN_STALL_S:
+            self._metrics.add_stall(late_s)
+            _log.warning('The process did not run for %.2f s.', late_s)
+
     def _report_dropped(self) -> None:
         dropped = self._log_handler.dropped
         if dropped > self._reported_dropped:
--- a/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
@@ -100,6 +100,11 @@
             'Memory that requests and responses take.',
             registry=registry,
         ).set_function(lambda: PROCESS_BUDGET.used_bytes)
+        self._stalled_s = prom.Counter(
+            'tamarackway_stalled_seconds',
+            'Time by which the process ran later than it should.',
+            registry=registry,
+        )
         self.store_calls = prom.Gauge(
             'tamarackway_store_calls',
             'Calls to the store since the start.',
@@ -123,6 +128,13 @@
             registry=registry,
         )
 
+    def add_stall(self, late_s: float) -> None:
+        """Count time by which the process ran late.
+
+        :param late_s: the time in seconds.
+        """
+        self._stalled_s.inc(late_s)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prom.generate_latest(self.registry)
