Report faulty responses to tamarackctl, and bound them

tamarackctl ended with a traceback when an instance answered with something that is no response, no whole one or no JSON object, and read a response without end for ever: there was a time-out for each read alone, and none for writes.

Such responses are now reported like an instance that does not respond, with its remedy and exit code 3; a response may take 30 s and 64 MiB.

--- a/packages/ctl/src/tamarackway_ctl/client/_client.py
+++ b/packages/ctl/src/tamarackway_ctl/client/_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the administration API."""
 
 import json
+import time
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
@@ -9,7 +10,14 @@
 from tamarackway_ctl.client._errors import ApiError, ExitCode, find_exit_code
 
 _TIMEOUT_S: Final = 30.0
+_MAX_RESPONSE_BYTES: Final = 67_108_864
 _MIN_ERROR_STATUS: Final = 400
+_CONNECTION_ERRORS: Final = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    ValueError,
+)
 
 
 class AdminClient:
@@ -82,16 +90,17 @@
         path: str,
         body: bytes = b'',
     ) -> dict[str, Any]:
-        timeouts = {'connect': _TIMEOUT_S, 'read': _TIMEOUT_S}
+        timeouts = dict.fromkeys(('connect', 'read', 'write'), _TIMEOUT_S)
         try:
-            response = httpcore.request(
+            with httpcore.stream(
                 method,
                 f'http://{self._entry}{path}',
                 headers={'authorization': f'Bearer {self._token}'},
                 content=body,
                 extensions={'timeout': timeouts},
-            )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            ) as response:
+                document = _read_document(response)
+        except _CONNECTION_ERRORS as error:
             raise ApiError(
                 {
                     'error': 'unreachable',
@@ -100,7 +109,24 @@
                 },
                 ExitCode.UNREACHABLE,
             ) from error
-        document: dict[str, Any] = json.loads(response.content)
         if response.status >= _MIN_ERROR_STATUS:
             raise ApiError(document, find_exit_code(response.status))
         return document
+
+
+def _read_document(response: httpcore.Response) -> dict[str, Any]:
+    """Return the JSON document in a response.
+
+    :param response: the response, whose body is not read yet.
+    :raises ValueError: if it is too large, too slow or not a JSON object.
+    """
+    end_s = time.monotonic() + _TIMEOUT_S
+    body = bytearray()
+    for part in response.iter_stream():
+        body += part
+        if len(body) > _MAX_RESPONSE_BYTES or time.monotonic() > end_s:
+            raise ValueError('the response has no end')
+    document = json.loads(body)
+    if not isinstance(document, dict):
+        raise ValueError('the response is no JSON object')  # ruff: ignore[type-check-without-type-error]
+    return document
