Log the history of the store with each load of a table

Logs told at which version a table was loaded, but not to which history of the store the version belongs, nor which version was known before. So a load that lies behind the known version could not be told from an ordinary one.

--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -266,10 +266,13 @@
                 after_outage=after_outage,
             )
             _log.info(
-                'Loaded %d rows of table %s at version %d, after_outage=%s.',
+                'Loaded %d rows of table %s at version %d of history %d, '
+                'known version %d, after_outage=%s.',
                 len(result.rows),
                 table,
                 result.position,
+                result.history,
+                progress.position,
                 after_outage,
             )
             progress.load(result.position, _last_version(result.rows))
--- a/packages/entry/src/tamarackway_entry/store/_rows.py
+++ b/packages/entry/src/tamarackway_entry/store/_rows.py
@@ -13,10 +13,14 @@
 
     :param rows: all rows, or the changed rows in order of their changes.
     :param position: version of the store that was read.
+    :param history: number of the store's history, to which the position and
+        the versions of the rows belong. It rises each time that the store is
+        restored from an older copy, and versions are then given out again.
     """
 
     rows: tuple[StoredRow, ...]
     position: int
+    history: int = 0
 
 
 @dataclass(frozen=True, slots=True)
