--- a/packages/standins/src/tamarackway_standins/faults/_middleware.py
+++ b/packages/standins/src/tamarackway_standins/faults/_middleware.py
@@ -3,7 +3,7 @@
 import json
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable, Collection, MutableMapping
 from dataclasses import asdict, dataclass, replace
 from typing import Any, Final
 
@@ -41,15 +41,17 @@
     """Applies the active faults to the requests of an application.
 
     :param app: wrapped application.
+    :param control_paths: paths that no fault affects.
 
     ``GET /faults`` returns the faults, ``PUT /faults`` sets those given in the
     JSON body.
     """
 
-    def __init__(self, app: _App) -> None:
+    def __init__(self, app: _App, control_paths: Collection[str] = ()) -> None:
         """Wrap an application; no fault is active."""
         self.faults = StoreFaults()
         self._app = app
+        self._control_paths = control_paths
         self._accepted_s: deque[float] = deque()
 
     async def __call__(
@@ -62,6 +64,9 @@
         if scope['path'] == FAULTS_PATH:
             await self._serve_faults(scope, receive, send)
             return
+        if scope['path'] in self._control_paths:
+            await self._app(scope, receive, send)
+            return
         await anyio.sleep(self.faults.delay_s)
         while self.faults.frozen:
             await anyio.sleep(_POLL_INTERVAL_S)
--- a/packages/standins/src/tamarackway_standins/store/_app.py
+++ b/packages/standins/src/tamarackway_standins/store/_app.py
@@ -15,6 +15,10 @@
 _PRECONDITION_FAILED: Final = 412
 _HISTORY_COMPACTED: Final = 410
 _NOT_FOUND: Final = 404
+# Not part of the protocol: let tests restore the store from a copy of some age,
+# also while it is down, and count the calls.
+_RESTORE_PATH: Final = '/restore'
+_COUNTS_PATH: Final = '/counts'
 
 
 def build_store_app(store: RowStore) -> FaultInjectionMiddleware:
@@ -32,8 +36,12 @@
         Route('/blob-get/{name:path}', blobs.get),
         # Not part of the protocol: lets tests compact the history.
         Route('/forget', rows.compact, methods=['POST']),
+        Route(_RESTORE_PATH, rows.restore, methods=['POST']),
+        Route(_COUNTS_PATH, rows.count),
     ]
-    return FaultInjectionMiddleware(Starlette(routes=routes))
+    return FaultInjectionMiddleware(
+        Starlette(routes=routes), (_RESTORE_PATH, _COUNTS_PATH)
+    )
 
 
 class _RowEndpoints:
@@ -41,14 +49,17 @@
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
+        self._calls = 0
 
     async def transact(self, request: Request) -> JSONResponse:
+        self._calls += 1
         conflicts = self._store.transact(await request.json())
         if conflicts is None:
             return self._respond()
         return self._respond(_PRECONDITION_FAILED, rows=conflicts)
 
     async def get(self, request: Request) -> JSONResponse:
+        self._calls += 1
         query = request.query_params
         rows, more = self._store.list_rows(
             query['table'],
@@ -59,10 +70,11 @@
         return self._respond(rows=rows, hasMore=more)
 
     async def feed(self, request: Request) -> JSONResponse:
+        self._calls += 1
         query = request.query_params
         table = query['table']
         after = int(query['after'])
-        if after < self._store.compacted_version:
+        if not self._store.has_history(after):
             return self._respond(_HISTORY_COMPACTED)
         wait_s = int(query.get('waitMs', '0')) / _MS_PER_S
         await self._store.wait_for_change(table, after, wait_s)
@@ -72,10 +84,19 @@
         self._store.compact_history()
         return self._respond()
 
+    async def count(self, _request: Request) -> JSONResponse:
+        return JSONResponse({'calls': self._calls})
+
+    async def restore(self, request: Request) -> JSONResponse:
+        document = await request.json()
+        self._store.restore(document['age_s'])
+        return self._respond()
+
     def _respond(self, status: int = 200, **fields: Any) -> JSONResponse:
         now = f'{int(time.monotonic() * _MS_PER_S)}ms'
         body = {'ver': self._store.version, 'now': now, **fields}
-        return JSONResponse(body, status_code=status)
+        headers = {'Store-Era': str(self._store.era)}
+        return JSONResponse(body, status_code=status, headers=headers)
 
 
 class _BlobEndpoints:
--- a/packages/standins/src/tamarackway_standins/store/_row_store.py
+++ b/packages/standins/src/tamarackway_standins/store/_row_store.py
@@ -1,6 +1,7 @@
 """In-memory rows with a version counter and a history of changes."""
 
 import base64
+import time
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -17,11 +18,13 @@
     :param row_key: table, part and key of the row.
     :param version: version of the store after the change.
     :param value: base64-encoded content, or None if the row was removed.
+    :param at_s: monotonic time in seconds of the change.
     """
 
     row_key: RowKey
     version: int
     value: str | None
+    at_s: float = 0
 
     def to_json(self) -> dict[str, Any]:
         """Return the row as it is encoded in responses."""
@@ -33,12 +36,18 @@
 
 
 class RowStore:
-    """Rows of all tables, which share one version counter."""
+    """Rows of all tables, which share one version counter.
+
+    The attribute ``era`` counts how often the store was restored from an older
+    copy, from 1.
+    """
 
     def __init__(self) -> None:
         """Create an empty store."""
+        self.era = 1
         self.version = 0
         self.compacted_version = 0
+        self._journal: list[Change] = []
         self._changes: dict[RowKey, Change] = {}
         self._changed = anyio.Event()
 
@@ -109,6 +118,29 @@
         """Drop the history of changes up to the current version."""
         self.compacted_version = self.version
 
+    def restore(self, age_s: float) -> None:
+        """Return to the rows and the version of some time ago.
+
+        Versions after that are given out again.
+
+        :param age_s: age of the copy in seconds.
+        """
+        copied_s = time.monotonic() - age_s
+        kept = [change for change in self._journal if change.at_s <= copied_s]
+        self.era += 1
+        self.version = max((change.version for change in kept), default=0)
+        self._journal = kept
+        self._changes = {change.row_key: change for change in kept}
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def has_history(self, after: int) -> bool:
+        """Return whether the changes after a version are known.
+
+        :param after: a version.
+        """
+        return self.compacted_version <= after <= self.version
+
     def _current_version(self, entry: dict[str, Any]) -> int:
         change = self._changes.get(_row_key(entry))
         return change.version if change and change.value is not None else 0
@@ -119,7 +151,9 @@
 
     def _record_change(self, entry: dict[str, Any], value: str | None) -> None:
         row_key = _row_key(entry)
-        self._changes[row_key] = Change(row_key, self.version, value)
+        change = Change(row_key, self.version, value, time.monotonic())
+        self._changes[row_key] = change
+        self._journal.append(change)
 
 
 def _row_key(entry: dict[str, Any]) -> RowKey:
