Compare versions of the store only within one history

Cause: positions of tables never went down, rows were passed over by their version, and peers compared positions, although versions of a restored store are given out again.

Each table now keeps the history that its versions belong to, and so do relays and heartbeats. A response of a newer history ends the table's history, also if the store still knew the version; a load sets the position whatever it was; what is of an older history is discarded. Loads that follow each other without a read of changes are spaced. A table stays in use until it is loaded anew, so that instances remain ready.

--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -60,6 +60,8 @@
     :param rate_limits: limits that targets named to the sender recently.
     :param leaving_targets: targets that told the sender recently that they are
         leaving.
+    :param histories: history of the store that the versions of each table
+        belong to.
     """
 
     name: str
@@ -72,6 +74,7 @@
     known_from: Mapping[str, Serial] = field(default_factory=dict)
     rate_limits: tuple[TargetRateLimit, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
+    histories: Mapping[str, Serial] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,7 @@
     :param position: version up to which the changes are complete.
     :param rows: changed rows in order of their versions.
     :param after_outage: whether the store was unavailable before.
+    :param history: history of the store that the versions belong to.
     """
 
     table: str
@@ -107,3 +111,4 @@
     position: Serial
     rows: tuple[StoredRow, ...]
     after_outage: bool = False
+    history: Serial = 0
--- a/packages/entry/src/tamarackway_entry/following/_progress.py
+++ b/packages/entry/src/tamarackway_entry/following/_progress.py
@@ -16,22 +16,32 @@
     a peer have been missing here since ``behind_since_s``: infinity if none
     are missing, minus infinity to poll without waiting for a relay.
 
+    All versions belong to ``history``. If ``must_load`` is set, the store no
+    longer has the changes after ``position``, and the rows must be loaded
+    before any change is applied; a table that is loaded stays in use meanwhile.
+    ``loads`` counts the loads since changes were last read, and
+    ``restored_s`` is the time at which a newer history was first loaded.
+
     :param table: name of the table.
     """
 
     def __init__(self, table: str) -> None:
         """Start with no rows loaded."""
         self.table = table
+        self.history = 0
         self.position = 0
         self.last_change = 0
         self.known_from = 0
         self.is_loaded = False
+        self.must_load = True
+        self.loads = 0
+        self.restored_s = -math.inf
         self.polled_s = -math.inf
         self.confirmed_s = -math.inf
         self.behind_since_s = math.inf
 
     def advance(self, position: int, last_change: int) -> None:
-        """Record that all changes up to a version are known.
+        """Record that all changes up to a version of the history are known.
 
         :param position: version of the store.
         :param last_change: version of the last changed row, 0 for none.
@@ -40,14 +50,29 @@
         self.last_change = max(self.last_change, last_change)
         self.is_loaded = True
 
-    def load(self, position: int, last_change: int) -> None:
+    def load(
+        self, history: int, position: int, last_change: int, now_s: float
+    ) -> None:
         """Record that all rows were read, whatever was known before.
 
+        :param history: history of the store that was read.
         :param position: version of the store.
         :param last_change: version of the last changed row, 0 for none.
+        :param now_s: monotonic time in seconds.
         """
-        self.advance(position, last_change)
+        if self.is_loaded and history > self.history:
+            self.restored_s = now_s
+        self.history = history
+        self.position = position
+        self.last_change = last_change
         self.known_from = position
+        self.is_loaded = True
+        self.must_load = False
+        self.loads += 1
+
+    def end_history(self) -> None:
+        """Record that the changes after the known ones cannot be read."""
+        self.must_load = True
 
     def record_poll(self, read_s: float) -> None:
         """Record that the table was read from the store itself.
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -34,6 +34,8 @@
 _CHECK_INTERVAL_S: Final = 0.1
 _FIRST_RETRY_S: Final = 0.1
 _MAX_RETRY_S: Final = 0.6  # expired targets must be back within 2 s
+# Entries of live targets that lapsed in the restored copy are back by then.
+_RESTORED_S: Final = 2.0
 _log = component_logger('follow')
 
 
@@ -41,6 +43,7 @@
     """Why an instance polls the store itself."""
 
     NOT_LOADED = 'not-loaded'
+    HISTORY_ENDED = 'history-ended'
     ELECTED = 'elected'
     NOT_CONFIRMED = 'not-confirmed'
     RELAY_MISSING = 'relay-missing'
@@ -49,8 +52,10 @@
 class RowSink(Protocol):
     """Receives the rows of replicated tables.
 
-    The flag ``after_outage`` says that the store was unreachable until now.
-    Rows may then be missing because they expired during the outage.
+    The flag ``after_outage`` says that the store was unreachable or restored
+    until now. Rows may then be missing because they expired during the outage.
+    The flag ``is_restored`` says that the rows replace those of an earlier
+    history, and that some may be older than what was known.
     """
 
     def replace_rows(
@@ -59,6 +64,7 @@
         rows: Sequence[StoredRow],
         *,
         after_outage: bool,
+        is_restored: bool,
     ) -> None:
         """Replace all rows of a table."""
 
@@ -113,6 +119,19 @@
         """Whether the rows of every table are known."""
         return all(progress.is_loaded for progress in self._progress.values())
 
+    @property
+    def history(self) -> int:
+        """Newest history of the store that any table was loaded from."""
+        return max(progress.history for progress in self._progress.values())
+
+    def histories(self) -> dict[str, int]:
+        """Return the history of the store that each loaded table is of."""
+        return {
+            table: progress.history
+            for table, progress in self._progress.items()
+            if progress.is_loaded
+        }
+
     def last_changes(self) -> dict[str, int]:
         """Return the version of the last known change of each loaded table."""
         return {
@@ -150,6 +169,7 @@
         last_change: int,
         known_from: int,
         age_s: float,
+        history: int = 0,
     ) -> None:
         """Update from the progress that a peer reports for a table.
 
@@ -157,9 +177,10 @@
         :param last_change: version of the last change known to the peer.
         :param known_from: version after which the peer knows all changes.
         :param age_s: time since the peer read the table from the store.
+        :param history: history of the store that these versions belong to.
         """
         progress = self._progress.get(table)
-        if progress is not None and progress.is_loaded:
+        if progress is not None and self._is_current(progress, history):
             now_s = self._clock.now_s()
             read_s = now_s - age_s
             progress.update_from_peer(last_change, known_from, read_s, now_s)
@@ -171,7 +192,7 @@
         :param relay: the changes.
         """
         progress = self._progress.get(relay.table)
-        if progress is None or not progress.is_loaded:
+        if progress is None or not self._is_current(progress, relay.history):
             return
         if progress.position < relay.after:
             # An earlier relay is missing, so the next check polls.
@@ -182,6 +203,7 @@
             # The sender may have lost only its own path to the store.
             is_affected = self._outage.is_affected(self._clock.now_s())
             after_outage = relay.after_outage and is_affected
+            after_outage |= self._was_just_restored(progress)
             self._apply(progress, rows, 'a relay', after_outage=after_outage)
         progress.advance(relay.position, _last_version(relay.rows))
 
@@ -207,6 +229,8 @@
         now_s = self._clock.now_s()
         if not progress.is_loaded:
             return PollReason.NOT_LOADED
+        if progress.must_load:
+            return PollReason.HISTORY_ENDED
         if self.is_elected():
             return PollReason.ELECTED
         if now_s - progress.confirmed_s > _MAX_CONFIRMATION_AGE_S:
@@ -225,7 +249,7 @@
             await self._poll(self._progress[table])
         except HistoryCompactedError as error:
             _log.info('%s.', error)
-            self._progress[table].is_loaded = False
+            self._progress[table].end_history()
         except StoreUnavailableError as error:
             self._record_failure(table, error)
             raise
@@ -243,44 +267,86 @@
                 await self.poll(progress.table)
             except StoreUnavailableError:
                 await anyio.sleep(backoff.next_s())
-            else:
+                continue
+            if progress.loads == 0:
                 backoff.reset()
+            elif progress.must_load:
+                # The store had no changes to tell since the last load.
+                await anyio.sleep(backoff.next_s())
 
     async def _poll(self, progress: Progress) -> None:
         table = progress.table
         started_s = self._clock.now_s()
         wait_s: float = 0
-        if progress.is_loaded:
+        if progress.must_load:
+            result = await self._store.read_table(table)
+            self._check_history(progress, result)
+            self._load(progress, result)
+        else:
             after = progress.position
             wait_s = _LONG_POLL_S if self.is_elected() else 0
             result = await self._store.read_changes(table, after, wait_s)
-            after_outage = self._record_success(table)
+            self._check_history(progress, result)
+            if result.history > progress.history:
+                # The store knew the version, but of another history.
+                progress.end_history()
+                return
+            after_outage = self._record_success(progress)
             self._apply_changes(progress, result, after_outage=after_outage)
             progress.advance(result.position, _last_version(result.rows))
-        else:
-            result = await self._store.read_table(table)
-            after_outage = self._record_success(table)
-            self._sink.replace_rows(
-                table,
-                result.rows,
-                after_outage=after_outage,
-            )
-            _log.info(
-                'Loaded %d rows of table %s at version %d of history %d, '
-                'known version %d, after_outage=%s.',
-                len(result.rows),
-                table,
-                result.position,
-                result.history,
-                progress.position,
-                after_outage,
-            )
-            progress.load(result.position, _last_version(result.rows))
+            progress.loads = 0
         now_s = self._clock.now_s()
         # If this process stood still meanwhile, the response is old.
         is_late = now_s - started_s > wait_s + _MAX_READ_S
         progress.record_poll(started_s if is_late else now_s)
 
+    def _load(self, progress: Progress, result: ReadResult) -> None:
+        """Replace all rows of a table by those that were read."""
+        table = progress.table
+        now_s = self._clock.now_s()
+        is_restored = progress.is_loaded and result.history > progress.history
+        after_outage = self._record_success(progress) or is_restored
+        self._sink.replace_rows(
+            table,
+            result.rows,
+            after_outage=after_outage,
+            is_restored=is_restored,
+        )
+        _log.info(
+            'Loaded %d rows of table %s at version %d of history %d, '
+            'known version %d, after_outage=%s.',
+            len(result.rows),
+            table,
+            result.position,
+            result.history,
+            progress.position,
+            after_outage,
+        )
+        progress.load(
+            result.history, result.position, _last_version(result.rows), now_s
+        )
+
+    def _check_history(self, progress: Progress, result: ReadResult) -> None:
+        """Discard a response that the store gave before it was restored."""
+        if result.history < progress.history:
+            raise StoreUnavailableError(
+                f'the response is of history {result.history}, which has ended'
+            )
+
+    def _is_current(self, progress: Progress, history: int) -> bool:
+        """Return whether versions of a peer can be compared with the own ones.
+
+        If the peer has seen a newer history, the table must be loaded.
+        """
+        if not progress.is_loaded or progress.must_load:
+            return False
+        if history > progress.history:
+            progress.end_history()
+        return history == progress.history
+
+    def _was_just_restored(self, progress: Progress) -> bool:
+        return self._clock.now_s() - progress.restored_s < _RESTORED_S
+
     def _apply_changes(
         self,
         progress: Progress,
@@ -302,6 +368,7 @@
                 result.position,
                 tuple(changed),
                 after_outage,
+                progress.history,
             )
             self.relay(relay)
 
@@ -335,15 +402,19 @@
             )
         self._outage.record_failure(self._clock.now_s())
 
-    def _record_success(self, table: str) -> bool:
-        """Return whether an outage of the store has just ended.
+    def _record_success(self, progress: Progress) -> bool:
+        """Return whether the store was unreachable or restored until now.
 
         All tables share the outage, so reads shortly after its end count too.
         """
         now_s = self._clock.now_s()
         if not self.store_answers:
-            _log.info('The store answers again, starting with %s.', table)
+            _log.info(
+                'The store answers again, starting with %s.', progress.table
+            )
         self._outage.record_success(now_s)
+        if self._was_just_restored(progress):
+            return True
         return self._outage.has_recovered(now_s)
 
 
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -60,6 +60,7 @@
             known_from=self._follow.known_from(),
             rate_limits=self._state.selector.rate_limiter.list_own(now_s),
             leaving_targets=self._state.catalogue.departures.list_recent(now_s),
+            histories=self._follow.histories(),
         )
 
     def handle_heartbeat(
@@ -71,9 +72,12 @@
         for table, last_change in heartbeat.positions.items():
             age_s = heartbeat.ages_s.get(table)
             if age_s is not None:
-                known_from = heartbeat.known_from.get(table, 0)
                 self._follow.update_from_peer(
-                    table, last_change, known_from, age_s
+                    table,
+                    last_change,
+                    heartbeat.known_from.get(table, 0),
+                    age_s,
+                    heartbeat.histories.get(table, 0),
                 )
         self._state.demand.update_peer(
             member.name,
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -36,6 +36,7 @@
     def __init__(self) -> None:
         self.rows: list[StoredRow] = []
         self.version = 0
+        self.history = 1
         self.down = False
         self.compacted = False
         self.calls = 0
@@ -50,7 +51,7 @@
         self.record_call()
         self.compacted = False
         live = tuple(row for row in self.rows if not row.removed)
-        return ReadResult(live, self.version)
+        return ReadResult(live, self.version, self.history)
 
     async def read_changes(
         self,
@@ -61,10 +62,13 @@
         self.record_call()
         if self.compacted:
             raise HistoryCompactedError(table)
+        if after > self.version:
+            raise HistoryCompactedError(table)
         changed = tuple(row for row in self.rows if row.version > after)
         version = self.version
+        history = self.history
         self.on_read()
-        return ReadResult(changed, version)
+        return ReadResult(changed, version, history)
 
     async def write(self, table: str, writes: Sequence[RowWrite]) -> bool:
         return True
@@ -88,6 +92,7 @@
         rows: Sequence[StoredRow],
         *,
         after_outage: bool,
+        is_restored: bool,
     ) -> None:
         self.keys = {row.key for row in rows}
         self.outages.append(after_outage)
@@ -125,16 +130,24 @@
     def confirm(self, peer: FollowService) -> None:
         """Report the progress of this instance to a peer, as heartbeats do."""
         known_from = self.service.known_from()
+        histories = self.service.histories()
         for table, last_change in self.service.last_changes().items():
-            peer.update_from_peer(table, last_change, known_from[table], 0)
+            peer.update_from_peer(
+                table, last_change, known_from[table], 0, histories[table]
+            )
 
     def confirm_with_ages(self, peer: FollowService) -> None:
         """Report progress and the age of each read, as heartbeats do."""
         known_from = self.service.known_from()
         last_changes = self.service.last_changes()
+        histories = self.service.histories()
         for table, age_s in self.service.ages_s().items():
             peer.update_from_peer(
-                table, last_changes[table], known_from[table], age_s
+                table,
+                last_changes[table],
+                known_from[table],
+                age_s,
+                histories[table],
             )
 
 
@@ -405,3 +418,114 @@
     elected.confirm_with_ages(listener.service)
     clock.moment_s += 0.2
     assert listener.service.should_poll('t') is not confirms
+
+
+def restore(store: FakeStore, rows: Sequence[StoredRow], version: int) -> None:
+    store.history += 1
+    store.rows = list(rows)
+    store.version = version
+
+
+# Guards against changes that are missed since the restored store has given out
+# the versions again that an instance knows.
+@pytest.mark.parametrize('versions', [0, 1, 2, 3, 10])
+@pytest.mark.parametrize('is_elected', [False, True])
+def test_changes_after_a_restore_are_applied(
+    versions: int, *, is_elected: bool
+) -> None:
+    store, clock = FakeStore(), ManualClock()
+    store.put('stays')
+    copy = tuple(store.rows)
+    instance = Replica(store, clock)
+    instance.service.is_elected = lambda: is_elected
+    for key in ('lost', 'lost, too'):
+        store.put(key)
+    instance.poll()
+    restore(store, copy, 1)
+    store.put('new')
+    store.version += versions
+    for _ in range(3):
+        instance.poll()
+    assert instance.sink.keys == {'stays', 'new'}
+    store.put('later')
+    instance.poll()
+    assert instance.sink.keys == {'stays', 'new', 'later'}
+
+
+# Guards against relays and confirmations of a history that has ended, which
+# arrive after the store was restored.
+@pytest.mark.parametrize('is_late', [False, True])
+def test_messages_of_an_ended_history_are_discarded(*, is_late: bool) -> None:
+    store, clock = FakeStore(), ManualClock()
+    elected, listener = Replica(store, clock), Replica(store, clock)
+    listener.service.is_elected = lambda: False
+    elected.poll()
+    listener.poll()
+    store.put('lost')
+    elected.poll()
+    restore(store, (), 0)
+    store.put('new')
+    if is_late:
+        elected.confirm(listener.service)
+        listener.service.apply_relay(elected.relays[-1])
+    other = Replica(store, clock)
+    other.poll()
+    other.confirm(listener.service)
+    assert listener.service.should_poll('t')
+    listener.poll()
+    listener.service.apply_relay(elected.relays[-1])
+    assert listener.sink.keys == {'new'}
+    clock.moment_s += 1.4
+    elected.confirm(listener.service)
+    assert listener.service.should_poll('t')
+
+
+# Guards against an instance that applies what the store told before it was
+# restored.
+def test_late_response_of_an_ended_history_is_discarded() -> None:
+    store, clock = FakeStore(), ManualClock()
+    instance = Replica(store, clock)
+    restore(store, (), 5)
+    instance.poll()
+    store.history -= 1
+    store.put('lost')
+    with pytest.raises(StoreUnavailableError):
+        instance.poll()
+    assert not instance.sink.keys
+
+
+# Guards against an instance that is not ready while it loads the restored
+# store, and so turns callers away that it could serve.
+def test_tables_stay_in_use_until_they_are_loaded_anew() -> None:
+    store, clock = FakeStore(), ManualClock()
+    instance = Replica(store, clock)
+    store.put('lost')
+    instance.poll()
+    restore(store, (), 0)
+    instance.poll()
+    assert instance.service.is_loaded
+    assert instance.sink.keys == {'lost'}
+    instance.poll()
+    assert not instance.sink.keys
+    assert instance.sink.outages[-1]
+
+
+# Guards against whole tables that are read without a pause while the store
+# has no changes to tell.
+def test_repeated_loads_are_spaced() -> None:
+    class RefusingStore(FakeStore):
+        async def read_changes(
+            self, table: str, after: int, wait_s: float
+        ) -> ReadResult:
+            self.record_call()
+            raise HistoryCompactedError(table)
+
+    store = RefusingStore()
+    instance = Replica(store, ManualClock())
+
+    async def replicate() -> None:
+        with anyio.move_on_after(1):
+            await instance.service.run()
+
+    anyio.run(replicate)
+    assert 4 < store.calls < 20
