--- a/packages/entry/src/tamarackway_entry/following/_progress.py
+++ b/packages/entry/src/tamarackway_entry/following/_progress.py
@@ -1,6 +1,10 @@
 """Replication progress of one table."""
 
 import math
+from typing import Final
+
+# Entries of live targets that lapsed in the restored copy are back by then.
+_RESTORED_S: Final = 2.0
 
 
 class Progress:
@@ -70,6 +74,13 @@
         self.must_load = False
         self.loads += 1
 
+    def was_just_restored(self, now_s: float) -> bool:
+        """Return whether a restored store was loaded a moment ago.
+
+        :param now_s: monotonic time in seconds.
+        """
+        return now_s - self.restored_s < _RESTORED_S
+
     def end_history(self) -> None:
         """Record that the changes after the known ones cannot be read."""
         self.must_load = True
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -18,6 +18,10 @@
 
 from tamarackway_entry.following._outage import OutageDetector
 from tamarackway_entry.following._progress import Progress
+from tamarackway_entry.following._reports import (
+    MAX_CONFIRMATION_AGE_S,
+    ProgressReporter,
+)
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.store import (
     HistoryCompactedError,
@@ -28,14 +32,11 @@
 from tamarackway_entry.telemetry import component_logger
 
 _LONG_POLL_S: Final = 0.7  # short, since each reply also confirms the table
-_MAX_CONFIRMATION_AGE_S: Final = 1.3  # changes must take effect within 2 s
 _RELAY_TIMEOUT_S: Final = 0.4  # longer than a relay between any two regions
 _MAX_READ_S: Final = 1.0  # above the time-out of reads
 _CHECK_INTERVAL_S: Final = 0.1
 _FIRST_RETRY_S: Final = 0.1
 _MAX_RETRY_S: Final = 0.6  # expired targets must be back within 2 s
-# Entries of live targets that lapsed in the restored copy are back by then.
-_RESTORED_S: Final = 2.0
 _log = component_logger('follow')
 
 
@@ -78,7 +79,7 @@
         """Apply changed and removed rows to a table."""
 
 
-class FollowService:
+class FollowService(ProgressReporter):
     """Replicates tables of the store.
 
     The owner replaces two callbacks: ``is_elected`` returns whether this
@@ -102,10 +103,9 @@
         """Start with no rows loaded."""
         self.is_elected: Callable[[], bool] = lambda: True
         self.relay: Callable[[RowsRelay], None] = lambda _relay: None
-        self._progress = {table: Progress(table) for table in tables}
+        super().__init__(tables, clock)
         self._store = store
         self._sink = sink
-        self._clock = clock
         self._rng = rng
         self._outage = OutageDetector()
 
@@ -114,55 +114,6 @@
         """Whether the last own read succeeded; true before the first one."""
         return self._outage.store_answers
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether the rows of every table are known."""
-        return all(progress.is_loaded for progress in self._progress.values())
-
-    @property
-    def history(self) -> int:
-        """Newest history of the store that any table was loaded from."""
-        return max(progress.history for progress in self._progress.values())
-
-    def histories(self) -> dict[str, int]:
-        """Return the history of the store that each loaded table is of."""
-        return {
-            table: progress.history
-            for table, progress in self._progress.items()
-            if progress.is_loaded
-        }
-
-    def last_changes(self) -> dict[str, int]:
-        """Return the version of the last known change of each loaded table."""
-        return {
-            table: progress.last_change
-            for table, progress in self._progress.items()
-            if progress.is_loaded
-        }
-
-    def known_from(self) -> dict[str, int]:
-        """Return the version after which all changes of each table are known.
-
-        Omits tables that are not loaded.
-        """
-        return {
-            table: progress.known_from
-            for table, progress in self._progress.items()
-            if progress.is_loaded
-        }
-
-    def ages_s(self) -> dict[str, float]:
-        """Return the time since each table was read from the store.
-
-        Omits tables whose last read is too old to confirm anything.
-        """
-        now_s = self._clock.now_s()
-        return {
-            table: now_s - progress.polled_s
-            for table, progress in self._progress.items()
-            if now_s - progress.polled_s < _MAX_CONFIRMATION_AGE_S
-        }
-
     def update_from_peer(
         self,
         table: str,
@@ -201,9 +152,10 @@
         rows = [row for row in relay.rows if row.version > progress.position]
         if rows:
             # The sender may have lost only its own path to the store.
-            is_affected = self._outage.is_affected(self._clock.now_s())
+            now_s = self._clock.now_s()
+            is_affected = self._outage.is_affected(now_s)
             after_outage = relay.after_outage and is_affected
-            after_outage |= self._was_just_restored(progress)
+            after_outage |= progress.was_just_restored(now_s)
             self._apply(progress, rows, 'a relay', after_outage=after_outage)
         progress.advance(relay.position, _last_version(relay.rows))
 
@@ -233,7 +185,7 @@
             return PollReason.HISTORY_ENDED
         if self.is_elected():
             return PollReason.ELECTED
-        if now_s - progress.confirmed_s > _MAX_CONFIRMATION_AGE_S:
+        if now_s - progress.confirmed_s > MAX_CONFIRMATION_AGE_S:
             return PollReason.NOT_CONFIRMED
         if now_s - progress.behind_since_s > _RELAY_TIMEOUT_S:
             return PollReason.RELAY_MISSING
@@ -263,17 +215,19 @@
                 continue
             if reason != PollReason.ELECTED:
                 _log_poll(progress, reason, self._clock.now_s())
-            try:
-                await self.poll(progress.table)
-            except StoreUnavailableError:
-                await anyio.sleep(backoff.next_s())
-                continue
-            if progress.loads == 0:
+            if await self._has_followed(progress):
                 backoff.reset()
-            elif progress.must_load:
-                # The store had no changes to tell since the last load.
+            else:
                 await anyio.sleep(backoff.next_s())
 
+    async def _has_followed(self, progress: Progress) -> bool:
+        """Poll; return whether the store tells changes and not only rows."""
+        try:
+            await self.poll(progress.table)
+        except StoreUnavailableError:
+            return False
+        return progress.loads == 0
+
     async def _poll(self, progress: Progress) -> None:
         table = progress.table
         started_s = self._clock.now_s()
@@ -344,9 +298,6 @@
             progress.end_history()
         return history == progress.history
 
-    def _was_just_restored(self, progress: Progress) -> bool:
-        return self._clock.now_s() - progress.restored_s < _RESTORED_S
-
     def _apply_changes(
         self,
         progress: Progress,
@@ -413,7 +364,7 @@
                 'The store answers again, starting with %s.', progress.table
             )
         self._outage.record_success(now_s)
-        if self._was_just_restored(progress):
+        if progress.was_just_restored(now_s):
             return True
         return self._outage.has_recovered(now_s)
 
--- a/packages/standins/src/tamarackway_standins/faults/_middleware.py
+++ b/packages/standins/src/tamarackway_standins/faults/_middleware.py
@@ -67,9 +67,7 @@
         if scope['path'] in self._control_paths:
             await self._app(scope, receive, send)
             return
-        await anyio.sleep(self.faults.delay_s)
-        while self.faults.frozen:
-            await anyio.sleep(_POLL_INTERVAL_S)
+        await self._hold()
         if self.faults.down:
             await send_json(send, 503, {'error': 'down'})
         elif self._is_rate_limited():
@@ -82,6 +80,11 @@
         else:
             await self._app(scope, receive, send)
 
+    async def _hold(self) -> None:
+        await anyio.sleep(self.faults.delay_s)
+        while self.faults.frozen:
+            await anyio.sleep(_POLL_INTERVAL_S)
+
     async def _serve_faults(
         self,
         scope: _Message,
