Register instances again when the store was restored

What callers saw: an instance that joined after the store had come back from a copy older than the fleet knew none of its peers, and they did not know it. It was not listed, followed the store alone and divided no budget.

Cause: the rows of the instances and the secret that they share were written once, at the start of each process. The copy lacks them, and the new process writes another secret.

Each instance now registers again whenever its tables are of a newer history than its registration, and reads its row back. The first to write decides on the secret. Instances accept all secrets that they have read, a server answers with the one that the client proved, and links try them in turn: so an instance that cannot read the store stays linked.

--- a/packages/entry/src/tamarackway_entry/fleet/_registry.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_registry.py
@@ -36,10 +36,12 @@
 
     :param secret: secret by which the instances authenticate each other.
     :param members: other instances registered so far.
+    :param history: history of the store that holds the registration.
     """
 
     secret: str
     members: tuple[FleetMember, ...]
+    history: int
 
 
 class FleetRegistry:
@@ -54,10 +56,14 @@
         self._store = store
         self._rng = rng
 
-    async def register(self, member: FleetMember) -> Registration:
+    async def register(
+        self, member: FleetMember, known_secret: str = ''
+    ) -> Registration:
         """Write the row of this instance and return the other instances.
 
         :param member: this instance.
+        :param known_secret: secret to store if the store holds none, or an
+            empty string to create one.
 
         The row is written before the others are read, so that of two
         instances that start concurrently at least one discovers the other.
@@ -65,7 +71,7 @@
         backoff = Backoff(_FIRST_RETRY_S, _MAX_RETRY_S, self._rng)
         while True:
             try:
-                return await self._try_register(member)
+                return await self._try_register(member, known_secret)
             except (StoreUnavailableError, StoreInDoubtError) as error:
                 _log.info(
                     'Registration of this instance failed, retrying: %s.',
@@ -73,18 +79,25 @@
                 )
             await anyio.sleep(backoff.next_s())
 
-    async def _try_register(self, member: FleetMember) -> Registration:
+    async def _try_register(
+        self, member: FleetMember, known_secret: str
+    ) -> Registration:
         member_write = RowWrite(
             f'{_INSTANCE_PREFIX}{member.name}',
             msgspec.json.encode(member),
         )
-        new_secret = secrets.token_hex(_SECRET_BYTES)
-        secret_write = RowWrite(_KEY_ROW, new_secret.encode(), 0)
+        own_secret = known_secret or secrets.token_hex(_SECRET_BYTES)
+        secret_write = RowWrite(_KEY_ROW, own_secret.encode(), 0)
         # Nothing is written if another instance has already stored a secret.
         if not await self._store.write(_TABLE, [secret_write, member_write]):
             await self._store.write(_TABLE, [member_write])
         result = await self._store.read_table(_TABLE)
         rows = {row.key: row.content for row in result.rows}
+        if rows.get(member_write.key) != member_write.content:
+            raise StoreUnavailableError(
+                f'table {_TABLE} does not hold row {member_write.key}; '
+                f'the store was restored after the write'
+            )
         secret = rows.get(_KEY_ROW, b'')
         if not secret.isalnum():
             raise StoreUnavailableError(
@@ -93,6 +106,7 @@
         return Registration(
             secret.decode(),
             tuple(_decode_members(result.rows, member.name)),
+            result.history,
         )
 
 
--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -23,7 +23,7 @@
     HeartbeatThrottle,
     failure_timeout_s,
 )
-from tamarackway_entry.fleet._registry import FleetRegistry
+from tamarackway_entry.fleet._registry import FleetRegistry, Registration
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.links import (
     PeerLink,
@@ -37,6 +37,7 @@
 # behind a network partition.
 _RETENTION_S: Final = 60.0
 _POLL_TASK: Final = 'follow'  # name of the polling task in the election
+_MAX_SECRETS: Final = 8  # of the newest histories of the store
 _log = component_logger('fleet')
 
 
@@ -77,7 +78,9 @@
 
     A peer is live from its first heartbeat until its failure. The callback
     ``on_change`` is called after peers were added, failed or expired, and after
-    the member record of one changed.
+    the member record of one changed. The callback ``store_history`` returns the
+    newest known history of the store. In each new one, this instance registers
+    again, since the store may have lost its row and the shared secret.
 
     :param delegate: supplies heartbeats and handles events of peers.
     :param registry: registers this instance and lists the others.
@@ -94,6 +97,7 @@
     ) -> None:
         """Start without links."""
         self.on_change: Callable[[], None] = lambda: None
+        self.store_history: Callable[[], int] = int
         self._delegate = delegate
         self._registry = registry
         self._own = own
@@ -103,7 +107,8 @@
         self._link_last_seen_s: dict[str, float] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._group: TaskGroup | None = None
-        self._secret = ''
+        # The first one is in the store. Peers may know only an earlier one.
+        self._secrets: list[str] = []
         self._is_elected = True
 
     def list_live(self) -> list[FleetMember]:
@@ -133,18 +138,17 @@
     async def run(self) -> None:
         """Register, serve peers and send heartbeats until cancelled."""
         registration = await self._registry.register(self._own)
-        self._secret = registration.secret
+        self._secrets.append(registration.secret)
         server = PeerServer(
             parse_address(self._own.peers),
-            (self._secret,),
+            self._secrets,
             self._handle_message,
         )
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(server.run)
-            for member in registration.members:
-                self._add_registered(member)
-            self.on_change()
+            self._add_members(registration)
+            group.start_soon(self._keep_registered, registration.history)
             while True:
                 await anyio.sleep(HEARTBEAT_INTERVAL_S)
                 self.detect_failures()
@@ -223,11 +227,34 @@
         except PeerUnreachableError as error:
             _log.debug('Message to %s failed: %s.', link.address, error)
 
-    def _add_registered(self, member: FleetMember) -> None:
-        peer = _Peer(member, store_answers=False)
-        peer.last_seen_s = self._clock.now_s()
-        self._peers.setdefault(member.name, peer)
-        self._open_link(member.peers)
+    async def _keep_registered(self, history: int) -> None:
+        """Register again whenever the store was restored from a copy."""
+        while True:
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+            if self.store_history() <= history:
+                continue
+            registration = await self._registry.register(
+                self._own, self._secrets[0]
+            )
+            history = registration.history
+            _log.info(
+                'Registered again in history %d of the store, %d others.',
+                history,
+                len(registration.members),
+            )
+            if registration.secret in self._secrets:
+                self._secrets.remove(registration.secret)
+            self._secrets.insert(0, registration.secret)
+            del self._secrets[_MAX_SECRETS:]
+            self._add_members(registration)
+
+    def _add_members(self, registration: Registration) -> None:
+        for member in registration.members:
+            peer = _Peer(member, store_answers=False)
+            peer.last_seen_s = self._clock.now_s()
+            self._peers.setdefault(member.name, peer)
+            self._open_link(member.peers)
+        self.on_change()
 
     def _open_link(self, address: str) -> None:
         if address in self._links or address == self._own.peers:
@@ -235,7 +262,7 @@
         if self._group is None:
             return
         host = parse_address(self._own.peers).host
-        link = PeerLink(parse_address(address), host, (self._secret,))
+        link = PeerLink(parse_address(address), host, self._secrets)
         self._links[address] = link
         self._link_last_seen_s[address] = self._clock.now_s()
         self._scopes[address] = anyio.CancelScope()
--- a/packages/entry/src/tamarackway_entry/links/_auth.py
+++ b/packages/entry/src/tamarackway_entry/links/_auth.py
@@ -35,7 +35,8 @@
     send requests as soon as it has read that proof.
 
     :param transport: the connection.
-    :param keys: shared secrets; the first one signs, all are accepted.
+    :param keys: shared secrets, all of which are accepted. A client signs with
+        the first one, a server with the one that the client has proved.
     :param role: ``client`` or ``server``, which prevents reflection attacks.
 
     Each side sends a nonce, then the HMAC-SHA256 over its role and both
@@ -50,23 +51,25 @@
             return False
         if role == 'client':
             await transport.send(_sign(keys[0], role, own_nonce, peer_nonce))
-            transport.is_authenticated = _verify(
+            proved = _find_key(
                 await transport.recv(),
                 keys,
                 'server',
                 peer_nonce,
                 own_nonce,
             )
+            transport.is_authenticated = proved is not None
             return transport.is_authenticated
-        transport.is_authenticated = _verify(
+        proved = _find_key(
             await transport.recv(),
             keys,
             'client',
             peer_nonce,
             own_nonce,
         )
-        if transport.is_authenticated:
-            await transport.send(_sign(keys[0], role, own_nonce, peer_nonce))
+        transport.is_authenticated = proved is not None
+        if proved is not None:
+            await transport.send(_sign(proved, role, own_nonce, peer_nonce))
             return True
     return False
 
@@ -76,17 +79,19 @@
     return hmac.digest(key.encode(), text, hashlib.sha256)
 
 
-def _verify(
+def _find_key(
     proof: str | bytes,
     keys: Sequence[str],
     role: str,
     own_nonce: bytes,
     peer_nonce: bytes,
-) -> bool:
+) -> str | None:
+    """Return the key that a proof is signed with, or None."""
     if not isinstance(proof, bytes):
-        return False
+        return None
     matches = [
-        hmac.compare_digest(proof, _sign(key, role, own_nonce, peer_nonce))
+        key
         for key in keys
+        if hmac.compare_digest(proof, _sign(key, role, own_nonce, peer_nonce))
     ]
-    return any(matches)
+    return matches[0] if matches else None
--- a/packages/entry/src/tamarackway_entry/links/_link.py
+++ b/packages/entry/src/tamarackway_entry/links/_link.py
@@ -47,7 +47,8 @@
 
     :param address: address of the peer.
     :param outgoing_host: local IP address of the connection.
-    :param keys: shared secrets.
+    :param keys: shared secrets, which the owner may change. Each connection
+        tries the next one if the peer did not accept the last.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.address = address
         self._outgoing_host = outgoing_host
         self._keys = keys
+        self._refused = 0
         self._request_numbers = itertools.count(1)
         self._pending: dict[int, _PendingRequest] = {}
         self._connection: ClientConnection | None = None
@@ -121,17 +123,25 @@
         }
         async with connect(f'ws://{self.address}/', **options) as connection:
             transport = cast(PeerClientConnection, connection)
-            if not await authenticate(transport, self._keys, 'client'):
+            keys = self._rotate_keys()
+            self._refused += 1
+            if not await authenticate(transport, keys, 'client'):
                 _log.warning(
                     '%s failed peer authentication.',
                     self.address,
                 )
                 return
+            self._refused = 0
             self._connection = connection
             backoff.reset()
             async for frame in connection:
                 self._handle_frame(frame)
 
+    def _rotate_keys(self) -> Sequence[str]:
+        """Return the keys, with the one that is tried next in front."""
+        first = self._refused % len(self._keys)
+        return (*self._keys[first:], *self._keys[:first])
+
     def _handle_frame(self, frame: str | bytes) -> None:
         if not isinstance(frame, bytes):
             raise WireError('received a text frame', 'send binary frames')
--- a/packages/entry/src/tamarackway_entry/tests/test_fleet.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -22,6 +22,7 @@
     HeartbeatThrottle,
     failure_timeout_s,
 )
+from tamarackway_entry.store import ReadResult, RowWrite
 from tamarackway_entry.tests.test_following import FakeStore, ManualClock
 
 
@@ -320,13 +321,15 @@
 def test_odd_row_hides_no_other_instance(content: bytes) -> None:
     store = FakeStore()
     sound = build_member('e2')
+    own = build_member('e1')
     store.rows = [
         StoredRow('peer-key', b'secret', 1),
+        StoredRow('instance/e1', msgspec.json.encode(own), 4),
         StoredRow('instance/e9', content, 2),
         StoredRow('instance/e2', msgspec.json.encode(sound), 3),
     ]
     registry = FleetRegistry(store, random.Random(1))
-    registration = anyio.run(registry.register, build_member('e1'))
+    registration = anyio.run(registry.register, own)
     assert registration.members == (sound,)
 
 
@@ -346,3 +349,62 @@
 
     assert anyio.run(register)
     assert store.calls > 1
+
+
+class RestoredStore(FakeStore):
+    """Loses what was written before it was restored."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.contents: dict[str, bytes] = {}
+        self.lost_writes = 0
+
+    async def write(self, table: str, writes: Sequence[RowWrite]) -> bool:
+        self.record_call()
+        if any(
+            write.expected_version == 0 and write.key in self.contents
+            for write in writes
+        ):
+            return False
+        for write in writes:
+            self.contents[write.key] = write.content or b''
+        if self.lost_writes:
+            self.lost_writes -= 1
+            self.restore()
+        return True
+
+    async def read_table(self, table: str) -> ReadResult:
+        self.record_call()
+        rows = [
+            StoredRow(key, content, 1) for key, content in self.contents.items()
+        ]
+        return ReadResult(tuple(rows), 1, self.history)
+
+    def restore(self) -> None:
+        self.contents.clear()
+        self.history += 1
+
+
+# Guards against an instance that is registered in no history of the store since
+# the store was restored between the write of its row and the read of all rows.
+@pytest.mark.parametrize('lost_writes', [0, 1, 2])
+def test_registration_outlasts_a_restore(lost_writes: int) -> None:
+    store = RestoredStore()
+    registry = FleetRegistry(store, random.Random(1))
+    store.lost_writes = lost_writes
+    first = anyio.run(registry.register, build_member('e1'))
+    assert first.history == store.history
+    store.restore()
+    again = anyio.run(registry.register, build_member('e1'), first.secret)
+    assert (again.secret, again.history) == (first.secret, store.history)
+    assert set(store.contents) == {'peer-key', 'instance/e1'}
+
+
+# Guards against two groups of instances, of which each holds another secret.
+def test_secret_of_the_restored_store_is_taken_over() -> None:
+    store = RestoredStore()
+    registry = FleetRegistry(store, random.Random(1))
+    started = anyio.run(registry.register, build_member('e2'))
+    again = anyio.run(registry.register, build_member('e1'), 'earlier')
+    assert again.secret == started.secret
+    assert [member.name for member in again.members] == ['e2']
--- a/packages/entry/src/tamarackway_entry/tests/test_links.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_links.py
@@ -271,3 +271,36 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+# Guards against instances that no longer understand each other, since one of
+# them knows a newer shared secret than the other, or only a newer one.
+@pytest.mark.parametrize(
+    ('client_keys', 'server_keys'),
+    [
+        (('old',), ('old',)),
+        (('new', 'old'), ('old',)),
+        (('old',), ('new', 'old')),
+        (('new',), ('new', 'old')),
+        (('newest', 'new', 'old'), ('other', 'old')),
+    ],
+)
+def test_instances_with_a_common_key_are_linked(
+    client_keys: tuple[str, ...], server_keys: tuple[str, ...]
+) -> None:
+    async def run() -> None:
+        address = Address(HOST, await find_port())
+        server = PeerServer(address, server_keys, reply)
+        link = PeerLink(address, HOST, client_keys)
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            group.start_soon(link.run)
+            with anyio.fail_after(3):
+                while True:
+                    with suppress(PeerUnreachableError):
+                        await link.request(Ok(), 1)
+                        break
+                    await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
