Keep the last confirmed configuration across histories of the store

Cause: configurations were ordered by the operator's number alone, and a new process knew nothing but the store.

ConfigurationOrder orders by the history in which a configuration was certainly written, then by number; contents that were in force do not come back. What a load finds may stem from the copy, so it never replaces a higher number. Heartbeats tell the number in force, and an instance to which the store cannot tell more than its peer has read asks the peer.

--- a/packages/core/src/tamarackway_core/steering/__init__.py
+++ b/packages/core/src/tamarackway_core/steering/__init__.py
@@ -4,6 +4,9 @@
 from tamarackway_core.steering._cold_start import (
     ColdStartLimiter as ColdStartLimiter,
 )
+from tamarackway_core.steering._configurations import (
+    ConfigurationOrder as ConfigurationOrder,
+)
 from tamarackway_core.steering._demand import DemandTracker as DemandTracker
 from tamarackway_core.steering._model import CallerLimits as CallerLimits
 from tamarackway_core.steering._model import Configuration as Configuration
--- a/packages/core/src/tamarackway_core/steering/_model.py
+++ b/packages/core/src/tamarackway_core/steering/_model.py
@@ -82,12 +82,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted version of the operator's configuration."""
+    """One accepted version of the operator's configuration.
+
+    :param version: number that the operator gave it.
+    :param routes: routes of requests.
+    :param services: limits by service.
+    :param limits: limits on callers.
+    :param digest: digest of its content, which tells it from another one with
+        the same number.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[str, ServicePolicy] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    digest: str = field(default='', compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -9,6 +9,8 @@
 from tamarackway_core.steering import (
     Catalogue,
     ColdStartLimiter,
+    Configuration,
+    ConfigurationOrder,
     DemandTracker,
     LeavingTarget,
     LoadReport,
@@ -568,3 +570,66 @@
     assert all(first_s <= delay_s <= first_s + 2 for delay_s in known_s)
     assert known_s == sorted(known_s)
     assert known_s[-1] > known_s[0]
+
+
+def configuration(version: int, digest: str = 'a') -> Configuration:
+    return Configuration(version, digest=digest)
+
+
+# Guards against a configuration that a restored store brings back, and against
+# one that is ignored since its number was given out before. Steps are number,
+# digest, history in which it was certainly written, and history of the read.
+@pytest.mark.parametrize(
+    ('steps', 'in_force'),
+    [
+        ([(3, 'a', 1, 1), (2, 'a', 1, 1)], (3, 'a')),
+        ([(3, 'a', 1, 1), (3, 'b', 1, 1)], (3, 'a')),
+        ([(3, 'a', 1, 1), (2, 'a', 0, 2)], (3, 'a')),
+        ([(3, 'a', 1, 1), (3, 'b', 0, 2)], (3, 'b')),
+        ([(3, 'a', 1, 1), (3, 'b', 2, 2)], (3, 'b')),
+        ([(3, 'a', 1, 1), (2, 'b', 2, 2)], (2, 'b')),
+        ([(2, 'a', 1, 1), (3, 'a', 1, 1), (2, 'a', 2, 2)], (3, 'a')),
+        ([(3, 'a', 1, 1), (3, 'a', 2, 2), (2, 'b', 2, 2)], (3, 'a')),
+        ([(3, 'a', 1, 1), (3, 'b', 2, 2), (3, 'a', 0, 3)], (3, 'b')),
+        ([(3, 'a', 1, 1), (3, 'b', 2, 2), (4, 'a', 2, 2)], (4, 'a')),
+        ([(2, 'a', 0, 2), (4, 'a', 1, 0)], (4, 'a')),
+        ([(2, 'a', 0, 2), (4, 'a', 1, 0), (3, 'b', 2, 2)], (3, 'b')),
+        ([(3, 'a', 0, 0), (3, 'b', 0, 0), (2, 'a', 0, 0)], (3, 'a')),
+    ],
+)
+def test_last_confirmed_configuration_is_in_force(
+    steps: list[tuple[int, str, int, int]], in_force: tuple[int, str]
+) -> None:
+    order = ConfigurationOrder()
+    for version, digest, written_in, read_in in steps:
+        order.apply(
+            configuration(version, digest),
+            written_in=written_in,
+            read_in=read_in,
+        )
+    assert order.current is not None
+    assert (order.current.version, order.current.digest) == in_force
+
+
+# Guards against a new instance that keeps the older configuration of the copy,
+# and against one that asks a peer which missed the newest one.
+@pytest.mark.parametrize(
+    ('own', 'peer', 'is_behind'),
+    [
+        (None, (0, 0), False),
+        (None, (1, 0), True),
+        ((2, 0), (3, 0), True),
+        ((2, 0), (3, 1), True),
+        ((3, 0), (3, 1), False),
+        ((3, 1), (2, 1), False),
+        ((2, 2), (3, 1), False),
+        ((2, 2), (3, 2), True),
+    ],
+)
+def test_newer_configuration_of_a_peer_is_recognized(
+    own: tuple[int, int] | None, peer: tuple[int, int], *, is_behind: bool
+) -> None:
+    order = ConfigurationOrder()
+    if own is not None:
+        order.apply(configuration(own[0]), written_in=own[1])
+    assert order.is_behind(*peer) is is_behind
--- a/packages/core/src/tamarackway_core/wire/__init__.py
+++ b/packages/core/src/tamarackway_core/wire/__init__.py
@@ -4,6 +4,12 @@
 from tamarackway_core.wire._codec import Envelope as Envelope
 from tamarackway_core.wire._codec import decode as decode
 from tamarackway_core.wire._codec import encode as encode
+from tamarackway_core.wire._fleet import (
+    ConfigurationReply as ConfigurationReply,
+)
+from tamarackway_core.wire._fleet import (
+    ConfigurationRequest as ConfigurationRequest,
+)
 from tamarackway_core.wire._fleet import FleetBeat as FleetBeat
 from tamarackway_core.wire._fleet import FleetMember as FleetMember
 from tamarackway_core.wire._fleet import RowsRelay as RowsRelay
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -62,6 +62,10 @@
         leaving.
     :param histories: history of the store that the versions of each table
         belong to.
+    :param configuration: number of the configuration in force at the sender, 0
+        without one.
+    :param configuration_written_in: history of the store in which that was
+        certainly written, 0 if it is not known.
     """
 
     name: str
@@ -75,6 +79,8 @@
     rate_limits: tuple[TargetRateLimit, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
     histories: Mapping[str, Serial] = field(default_factory=dict)
+    configuration: Serial = 0
+    configuration_written_in: Serial = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,3 +118,21 @@
     rows: tuple[StoredRow, ...]
     after_outage: bool = False
     history: Serial = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Requests the configuration in force at a peer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReply:
+    """Reply with the configuration in force.
+
+    :param content: its encoding in the store; empty without one.
+    :param written_in: history of the store in which it was certainly written, 0
+        if that is not known.
+    """
+
+    content: bytes
+    written_in: Serial
--- a/packages/core/src/tamarackway_core/wire/_messages.py
+++ b/packages/core/src/tamarackway_core/wire/_messages.py
@@ -8,7 +8,12 @@
 from tamarackway_core.once import RunResult
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
-from tamarackway_core.wire._fleet import FleetBeat, RowsRelay
+from tamarackway_core.wire._fleet import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    FleetBeat,
+    RowsRelay,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,5 +122,7 @@
     | ExplainReply
     | FleetBeat
     | RowsRelay
+    | ConfigurationRequest
+    | ConfigurationReply
     | Ok
 )
--- a/packages/entry/src/tamarackway_entry/fleet/_service.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_service.py
@@ -10,6 +10,8 @@
 from tamarackway_core.membership import elect
 from tamarackway_core.places import parse_address
 from tamarackway_core.wire import (
+    ConfigurationReply,
+    ConfigurationRequest,
     FleetBeat,
     FleetMember,
     Message,
@@ -17,6 +19,7 @@
     RowsRelay,
 )
 
+from tamarackway_entry.fleet._configuration import ConfigurationFetcher
 from tamarackway_entry.fleet._pace import (
     HEARTBEAT_INTERVAL_S,
     REPLY_TIMEOUT_S,
@@ -58,6 +61,15 @@
         :param member: the peer.
         """
 
+    def lacks_configuration(self, heartbeat: FleetBeat) -> bool:
+        """Return whether only the peer can tell a newer configuration."""
+
+    def build_configuration_reply(self) -> ConfigurationReply:
+        """Return the configuration in force."""
+
+    def apply_configuration(self, reply: ConfigurationReply) -> None:
+        """Apply the configuration of a peer, if it is newer."""
+
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changed rows that a peer relays."""
 
@@ -110,6 +122,7 @@
         # The first one is in the store. Peers may know only an earlier one.
         self._secrets: list[str] = []
         self._is_elected = True
+        self._configuration = ConfigurationFetcher(delegate)
 
     def list_live(self) -> list[FleetMember]:
         """Return the other live instances."""
@@ -196,6 +209,13 @@
         self._link_last_seen_s[member.peers] = now_s
         self._open_link(member.peers)
         self._delegate.handle_heartbeat(heartbeat, member)
+        link = self._links.get(member.peers)
+        if (
+            self._group is not None
+            and link is not None
+            and self._delegate.lacks_configuration(heartbeat)
+        ):
+            self._configuration.start(self._group, link)
         if previous != (True, member):
             _log.info(
                 'Instance %s is live, ready=%s leaving=%s.',
@@ -311,6 +331,8 @@
             self.handle_heartbeat(message)
             # A peer that sends its member record may not have ours yet.
             return self._delegate.build_heartbeat() if message.member else Ok()
+        if isinstance(message, ConfigurationRequest):
+            return self._delegate.build_configuration_reply()
         if isinstance(message, RowsRelay):
             self._delegate.apply_relay(message)
         return Ok()
--- a/packages/entry/src/tamarackway_entry/following/_reports.py
+++ b/packages/entry/src/tamarackway_entry/following/_reports.py
@@ -1,6 +1,6 @@
 """Reports how far the tables of an instance are replicated."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from tamarackway_entry.following._progress import Progress
@@ -58,6 +58,21 @@
             if progress.is_loaded
         }
 
+    def covers(
+        self, last_changes: Mapping[str, int], histories: Mapping[str, int]
+    ) -> bool:
+        """Return whether the store cannot tell more than a peer has read.
+
+        :param last_changes: version of the last change known to the peer by
+            table.
+        :param histories: history of each of these versions.
+        """
+        return all(
+            (progress.history, progress.position)
+            >= (histories.get(table, 0), last_changes.get(table, 0))
+            for table, progress in self._progress.items()
+        )
+
     def ages_s(self) -> dict[str, float]:
         """Return the time since each table was read from the store.
 
--- a/packages/entry/src/tamarackway_entry/following/_service.py
+++ b/packages/entry/src/tamarackway_entry/following/_service.py
@@ -56,7 +56,9 @@
     The flag ``after_outage`` says that the store was unreachable or restored
     until now. Rows may then be missing because they expired during the outage.
     The flag ``is_restored`` says that the rows replace those of an earlier
-    history, and that some may be older than what was known.
+    history, and that some may be older than what was known. Changed rows were
+    certainly written in ``history``; others may stem from the copy that it
+    began with.
     """
 
     def replace_rows(
@@ -66,6 +68,7 @@
         *,
         after_outage: bool,
         is_restored: bool,
+        history: int,
     ) -> None:
         """Replace all rows of a table."""
 
@@ -75,6 +78,7 @@
         rows: Sequence[StoredRow],
         *,
         after_outage: bool,
+        history: int,
     ) -> None:
         """Apply changed and removed rows to a table."""
 
@@ -265,6 +269,7 @@
             result.rows,
             after_outage=after_outage,
             is_restored=is_restored,
+            history=result.history,
         )
         _log.info(
             'Loaded %d rows of table %s at version %d of history %d, '
@@ -332,7 +337,10 @@
         after_outage: bool,
     ) -> None:
         self._sink.apply_changes(
-            progress.table, rows, after_outage=after_outage
+            progress.table,
+            rows,
+            after_outage=after_outage,
+            history=progress.history,
         )
         _log.info(
             'Applied %d rows of table %s up to version %d from %s, '
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -7,6 +7,7 @@
 from tamarackway_core.steering import (
     Catalogue,
     Configuration,
+    ConfigurationOrder,
     DemandTracker,
     RouteTable,
     RunTimeEstimator,
@@ -38,7 +39,8 @@
         """Start without a configuration."""
         self._started_s = started_s
         self.bounds = bounds
-        self.configuration: Configuration | None = None
+        self.configurations = ConfigurationOrder()
+        self.configuration_content = b''
         self.targets_loaded = False
         self.ready = anyio.Event()
         self.routes = RouteTable(())
@@ -71,16 +73,34 @@
                 bounds.retry_extra,
             )
 
-    def configure(self, configuration: Configuration) -> bool:
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, or None if none is known yet."""
+        return self.configurations.current
+
+    def configure(
+        self,
+        configuration: Configuration,
+        content: bytes = b'',
+        *,
+        written_in: int = 0,
+        read_in: int = 0,
+    ) -> bool:
         """Apply a configuration if it is newer than the current one.
 
         :param configuration: an accepted configuration.
+        :param content: its encoding in the store.
+        :param written_in: history of the store in which it was certainly
+            written, 0 if that is not known.
+        :param read_in: history of the store in which it was read, 0 if a peer
+            told it.
         :returns: whether it was applied.
         """
-        known = self.configuration
-        if known is not None and known.version >= configuration.version:
+        if not self.configurations.apply(
+            configuration, written_in=written_in, read_in=read_in
+        ):
             return False
-        self.configuration = configuration
+        self.configuration_content = content
         self.routes = RouteTable(configuration.routes)
         self._check_ready()
         return True
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -1,9 +1,14 @@
 """State that this instance exchanges with its peers."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay
+from tamarackway_core.wire import (
+    ConfigurationReply,
+    FleetBeat,
+    FleetMember,
+    RowsRelay,
+)
 
 from tamarackway_entry.fleet import select_instances
 from tamarackway_entry.following import FollowService
@@ -20,6 +25,9 @@
     :param follow: replicates the tables of the store.
     :param lifecycle: state of the instance.
     :param clock: clocks of the daemon.
+
+    The owner replaces the callback ``apply_peer_configuration``. It takes the
+    encoded configuration of a peer and the history in which it was written.
     """
 
     def __init__(
@@ -31,6 +39,9 @@
         clock: Clock,
     ) -> None:
         """Start with an unknown fleet size."""
+        self.apply_peer_configuration: Callable[[bytes, int], None] = (
+            lambda _content, _written_in: None
+        )
         state.selector.instances = 0
         self._own = own
         self._state = state
@@ -49,6 +60,7 @@
     def build_heartbeat(self) -> FleetBeat:
         """Return a heartbeat with the current state."""
         now_s = self._clock.now_s()
+        configuration = self._state.configuration
         return FleetBeat(
             name=self._own.name,
             member=self._build_member(),
@@ -61,6 +73,8 @@
             rate_limits=self._state.selector.rate_limiter.list_own(now_s),
             leaving_targets=self._state.catalogue.departures.list_recent(now_s),
             histories=self._follow.histories(),
+            configuration=configuration.version if configuration else 0,
+            configuration_written_in=self._state.configurations.written_in,
         )
 
     def handle_heartbeat(
@@ -94,6 +108,27 @@
                 target.name, target.incarnation, now_s, from_peer=True
             )
 
+    def lacks_configuration(self, heartbeat: FleetBeat) -> bool:
+        """Return whether only the peer can tell a newer configuration.
+
+        A restored store may hold an older one, until the operator writes again.
+        """
+        return self._state.configurations.is_behind(
+            heartbeat.configuration, heartbeat.configuration_written_in
+        ) and self._follow.covers(heartbeat.positions, heartbeat.histories)
+
+    def build_configuration_reply(self) -> ConfigurationReply:
+        """Return the configuration in force."""
+        return ConfigurationReply(
+            self._state.configuration_content,
+            self._state.configurations.written_in,
+        )
+
+    def apply_configuration(self, reply: ConfigurationReply) -> None:
+        """Apply the configuration of a peer, if it is newer."""
+        if reply.content:
+            self.apply_peer_configuration(reply.content, reply.written_in)
+
     def apply_relay(self, relay: RowsRelay) -> None:
         """Apply changed rows that a peer relays."""
         self._follow.apply_relay(relay)
--- a/packages/entry/src/tamarackway_entry/tests/test_fleet.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -10,7 +10,13 @@
 from msgspec import to_builtins
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import ColdStartLimiter, WindowedRetryBudget
-from tamarackway_core.wire import FleetBeat, FleetMember, RowsRelay, StoredRow
+from tamarackway_core.wire import (
+    ConfigurationReply,
+    FleetBeat,
+    FleetMember,
+    RowsRelay,
+    StoredRow,
+)
 
 from tamarackway_entry.fleet import (
     FleetRegistry,
@@ -75,6 +81,15 @@
     ) -> None:
         """Ignore the call."""
 
+    def lacks_configuration(self, heartbeat: FleetBeat) -> bool:
+        return False
+
+    def build_configuration_reply(self) -> ConfigurationReply:
+        return ConfigurationReply(b'', 0)
+
+    def apply_configuration(self, reply: ConfigurationReply) -> None:
+        """Ignore the call."""
+
     def apply_relay(self, relay: RowsRelay) -> None:
         """Ignore the call."""
 
--- a/packages/entry/src/tamarackway_entry/tests/test_following.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_following.py
@@ -93,6 +93,7 @@
         *,
         after_outage: bool,
         is_restored: bool,
+        history: int,
     ) -> None:
         self.keys = {row.key for row in rows}
         self.outages.append(after_outage)
@@ -103,6 +104,7 @@
         rows: Sequence[StoredRow],
         *,
         after_outage: bool,
+        history: int,
     ) -> None:
         for row in rows:
             (self.keys.discard if row.removed else self.keys.add)(row.key)
