Do not believe a restored copy over what is known of targets

What callers saw: after a restore, requests went to targets up to 6.4 s after they had left (2 s allowed), were refused although live targets existed, and reached a failure domain that was evacuated.

Cause: the rows of the copy replaced what was known, although they are older. Targets that had been removed were forgotten, so their earlier records passed for new ones; targets that the copy lacks were removed at once; an evacuation that the copy lacks ended.

The catalogue remembers the last records of removed targets, which order themselves whatever the store says, and uses an older one only if the store still lists it after 10 s. Targets and evacuations that the copy lacks stay for as long as their writers need to write again. Instances tell their peers what they hold against the copy, so that new ones know it too; what a peer told is not told on.

--- a/packages/core/src/tamarackway_core/steering/__init__.py
+++ b/packages/core/src/tamarackway_core/steering/__init__.py
@@ -8,10 +8,14 @@
     ConfigurationOrder as ConfigurationOrder,
 )
 from tamarackway_core.steering._demand import DemandTracker as DemandTracker
+from tamarackway_core.steering._evacuations import (
+    EvacuationTracker as EvacuationTracker,
+)
 from tamarackway_core.steering._model import CallerLimits as CallerLimits
 from tamarackway_core.steering._model import Configuration as Configuration
 from tamarackway_core.steering._model import LeavingTarget as LeavingTarget
 from tamarackway_core.steering._model import LoadReport as LoadReport
+from tamarackway_core.steering._model import OutdatedTarget as OutdatedTarget
 from tamarackway_core.steering._model import Route as Route
 from tamarackway_core.steering._model import ServicePolicy as ServicePolicy
 from tamarackway_core.steering._model import ServiceShare as ServiceShare
--- a/packages/core/src/tamarackway_core/steering/_catalogue.py
+++ b/packages/core/src/tamarackway_core/steering/_catalogue.py
@@ -6,20 +6,23 @@
 
 from tamarackway_core.steering._departures import DepartureRegistry
 from tamarackway_core.steering._model import LeavingTarget, TargetRecord
+from tamarackway_core.steering._outdated import OutdatedRecords
 from tamarackway_core.steering._ranking import TargetRanking
 
 _EXPIRY_GRACE_S: Final = 2.5  # live targets register again within 2 s
 # A running target replaces a late record of an earlier incarnation in less
 # time, and a leaving one must be known as such within 2 s.
 _RESTART_GRACE_S: Final = 1.8
+# By then, the store has removed the entries of silent targets.
+_COPY_GRACE_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
 class _OlderRecord:
-    """Newest record of an older incarnation, known since its first record."""
+    """A record that is older than what is known, and when it is adopted."""
 
     record: TargetRecord
-    since_s: float
+    adopted_s: float
 
 
 class Catalogue:
@@ -35,6 +38,7 @@
     def __init__(self) -> None:
         """Start without targets."""
         self.departures = DepartureRegistry()
+        self.outdated = OutdatedRecords()
         self._records: dict[str, TargetRecord] = {}
         self._cold_until_s: dict[str, float] = {}
         self._expired_since_s: dict[str, float] = {}
@@ -64,35 +68,42 @@
         record = self._records.get(name)
         return record is not None and self._accepts_requests(record)
 
-    def put(self, record: TargetRecord, now_s: float) -> None:
+    def put(
+        self, record: TargetRecord, now_s: float, *, is_copy: bool = False
+    ) -> None:
         """Add or update a target; an older record is ignored.
 
         :param record: description of the target, as published by itself.
         :param now_s: monotonic time in seconds.
+        :param is_copy: whether it may stem from the copy that the store was
+            restored from, so that it proves nothing about the target now.
 
-        A record of an older incarnation is kept for
-        :meth:`adopt_restarted`.
+        A record of an older incarnation, or of a target that was removed, is
+        kept for :meth:`adopt_older`.
         """
         known = self._records.get(record.name)
+        if is_copy and self.outdated.contradicts(record, known, now_s):
+            if known is None:
+                self._keep_older(record, now_s + _COPY_GRACE_S)
+            return
         if known is not None and _version(known) > _version(record):
-            if known.incarnation > record.incarnation:
-                self._keep_older(record, now_s)
+            if known.incarnation > record.incarnation and not is_copy:
+                self._keep_older(record, now_s + _RESTART_GRACE_S)
             return
         self._replace(record, now_s)
 
-    def adopt_restarted(self, now_s: float) -> list[str]:
-        """Adopt older incarnations that were not replaced, return their names.
+    def adopt_older(self, now_s: float) -> list[str]:
+        """Adopt older records that were not replaced, and return their names.
 
         :param now_s: monotonic time in seconds.
 
         A record of an older incarnation may have been written late, or by a
         target whose clock was set back before it started again. In the first
-        case, the running target soon replaces it.
+        case, the running target soon replaces it. A record of a removed target
+        may stem from a copy of the store, which soon removes it too.
         """
         adopted = [
-            older
-            for older in self._older.values()
-            if now_s - older.since_s >= _RESTART_GRACE_S
+            older for older in self._older.values() if now_s >= older.adopted_s
         ]
         for older in adopted:
             self._replace(older.record, now_s)
@@ -130,6 +141,7 @@
         self._cold_until_s.pop(name, None)
         self._expired_since_s.pop(name, None)
         if record is not None:
+            self.outdated.record_removal(record)
             self._usable.pop(record.service, None)
 
     def mark_expired(self, name: str, now_s: float) -> None:
@@ -227,12 +239,12 @@
         self._usable.pop(known.service, None)
         self._usable.pop(record.service, None)
 
-    def _keep_older(self, record: TargetRecord, now_s: float) -> None:
+    def _keep_older(self, record: TargetRecord, adopted_s: float) -> None:
         older = self._older.get(record.name)
         if older is None or older.record.incarnation != record.incarnation:
-            self._older[record.name] = _OlderRecord(record, now_s)
+            self._older[record.name] = _OlderRecord(record, adopted_s)
         elif older.record.sequence <= record.sequence:
-            self._older[record.name] = _OlderRecord(record, older.since_s)
+            self._older[record.name] = _OlderRecord(record, older.adopted_s)
 
     def _accepts_requests(self, record: TargetRecord) -> bool:
         evacuated = record.place.failure_domain in self._evacuated
--- a/packages/core/src/tamarackway_core/steering/_model.py
+++ b/packages/core/src/tamarackway_core/steering/_model.py
@@ -138,6 +138,20 @@
     incarnation: Serial
 
 
+@dataclass(frozen=True, slots=True)
+class OutdatedTarget:
+    """A target that is gone or leaving, whatever its earlier records say.
+
+    :param name: name of the target.
+    :param incarnation: incarnation of its last record.
+    :param sequence: sequence of its last record.
+    """
+
+    name: str
+    incarnation: Serial
+    sequence: Serial
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load of a target, as reported with a response.
--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -12,6 +12,7 @@
     Configuration,
     ConfigurationOrder,
     DemandTracker,
+    EvacuationTracker,
     LeavingTarget,
     LoadReport,
     Route,
@@ -436,7 +437,7 @@
     catalogue.put(again, 10)
     leaving = dataclasses.replace(again, sequence=2, leaving=True)
     catalogue.put(leaving, 10 + registered_s)
-    catalogue.adopt_restarted(12)
+    catalogue.adopt_older(12)
     assert catalogue.find('t') == leaving
     assert not catalogue.is_usable('t')
     assert not catalogue.list_usable('s').targets
@@ -450,11 +451,11 @@
     catalogue.put(make_target('t', incarnation=4, leaving=True), 10)
     again = dataclasses.replace(running, sequence=2)
     catalogue.put(again, 11.5)
-    catalogue.adopt_restarted(13)
+    catalogue.adopt_older(13)
     assert catalogue.find('t') == again
     catalogue.put(make_target('t', incarnation=4, leaving=True), 20)
     catalogue.remove('t')
-    catalogue.adopt_restarted(30)
+    catalogue.adopt_older(30)
     assert catalogue.find('t') is None
 
 
@@ -633,3 +634,116 @@
     if own is not None:
         order.apply(configuration(own[0]), written_in=own[1])
     assert order.is_behind(*peer) is is_behind
+
+
+def target_record(
+    incarnation: int, sequence: int, *, leaving: bool = False
+) -> TargetRecord:
+    return TargetRecord(
+        name='t',
+        incarnation=incarnation,
+        service='s',
+        place=Place('east', 'east-a'),
+        address=Address('127.0.0.1', 80),
+        slots=3,
+        leaving=leaving,
+        sequence=sequence,
+    )
+
+
+# Guards against requests to a target that a restored store lists with a record
+# from before it left. Records are incarnation and sequence.
+@pytest.mark.parametrize(
+    ('last', 'ended', 'copied', 'usable', 'usable_later'),
+    [
+        ((1, 7), 'removed', (1, 5), False, True),
+        ((1, 7), 'removed', (1, 7), False, True),
+        ((2, 7), 'removed', (1, 9), False, True),
+        ((1, 7), 'removed', (1, 8), True, True),
+        ((1, 7), 'removed', (2, 1), True, True),
+        ((1, 7), 'leaving', (1, 5), False, False),
+        ((2, 7), 'leaving', (1, 9), False, False),
+        ((1, 7), 'leaving', (2, 1), True, True),
+        ((1, 7), '', (1, 5), True, True),
+        ((2, 1), '', (1, 9), True, True),
+    ],
+)
+def test_outdated_record_of_a_copy_is_not_used(
+    last: tuple[int, int],
+    ended: str,
+    copied: tuple[int, int],
+    *,
+    usable: bool,
+    usable_later: bool,
+) -> None:
+    catalogue = Catalogue()
+    catalogue.put(target_record(*last, leaving=ended == 'leaving'), 10)
+    if ended == 'removed':
+        catalogue.remove('t')
+    catalogue.put(target_record(*copied), 20, is_copy=True)
+    catalogue.adopt_older(25)
+    assert catalogue.is_usable('t') is usable
+    assert bool(catalogue.outdated.list_recent(25)) is not usable
+    catalogue.adopt_older(31)
+    assert catalogue.is_usable('t') is usable_later
+    assert not catalogue.outdated.list_recent(31)
+
+
+# Guards against a live target that is never used again, since a copy listed it
+# after it had been removed for a moment.
+def test_target_that_registers_again_after_a_restore_is_used() -> None:
+    catalogue = Catalogue()
+    catalogue.put(target_record(1, 7), 10)
+    catalogue.remove('t')
+    catalogue.put(target_record(1, 5), 20, is_copy=True)
+    catalogue.put(target_record(1, 8), 21)
+    assert catalogue.is_usable('t')
+    catalogue.remove('t')
+    catalogue.adopt_older(60)
+    assert not catalogue.is_usable('t')
+
+
+# Guards against evacuations that a restored store undoes or brings back. Steps
+# are the time and what is listed, certainly added or removed, or held by peers.
+@pytest.mark.parametrize(
+    ('steps', 'in_force'),
+    [
+        ([(0, 'list', 'a'), (10, 'restore', '')], {19: 'a', 21: ''}),
+        (
+            [(0, 'list', 'a'), (10, 'restore', ''), (14, 'add', 'a')],
+            {19: 'a', 60: 'a'},
+        ),
+        (
+            [(0, 'list', 'a'), (10, 'restore', ''), (12, 'remove', 'a')],
+            {13: ''},
+        ),
+        ([(0, 'list', ''), (10, 'restore', 'a')], {12: '', 13: 'a'}),
+        (
+            [(0, 'list', ''), (10, 'restore', 'a'), (11, 'add', 'a')],
+            {12: 'a'},
+        ),
+        ([(0, 'list', 'a'), (10, 'restore', 'a')], {11: 'a', 60: 'a'}),
+        ([(0, 'list', ''), (10, 'peer', 'a')], {15: 'a', 21: ''}),
+        (
+            [(0, 'list', ''), (10, 'remove', 'a'), (11, 'peer', 'a')],
+            {12: ''},
+        ),
+        ([(0, 'list', 'a'), (10, 'list', '')], {11: ''}),
+    ],
+)
+def test_evacuations_outlast_a_restore(
+    steps: list[tuple[float, str, str]], in_force: dict[float, str]
+) -> None:
+    tracker = EvacuationTracker()
+    for at_s, change, domains in steps:
+        names = frozenset(domains)
+        if change == 'peer':
+            tracker.hold_for_peer(dict.fromkeys(names, 9.5), at_s)
+        elif change == 'add':
+            tracker.change(names, frozenset(), at_s)
+        elif change == 'remove':
+            tracker.change(frozenset(), names, at_s)
+        else:
+            tracker.replace(names, at_s, is_restored=change == 'restore')
+    for at_s, domains in in_force.items():
+        assert tracker.in_force(at_s) == frozenset(domains)
--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -16,9 +16,11 @@
 from tamarackway_core.places import Instance, Place, State
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
-from tamarackway_core.steering import LeavingTarget
+from tamarackway_core.steering import LeavingTarget, OutdatedTarget
 from tamarackway_core.tests.fuzzing import FUZZING
 from tamarackway_core.wire import (
+    ConfigurationReply,
+    ConfigurationRequest,
     Envelope,
     ExplainReply,
     FleetBeat,
@@ -29,6 +31,8 @@
     Ok,
     PlanPush,
     PlanReply,
+    RowsRelay,
+    StoredRow,
     decode,
     encode,
 )
@@ -63,7 +67,15 @@
                 TargetRateLimit('t2', 2, math.inf, 0.5),
             ),
             leaving_targets=(LeavingTarget('t1', 2),),
+            histories={'t': 2},
+            outdated_targets=(OutdatedTarget('t1', 2, 9),),
+            held_evacuations_s={'east-a': 4.5},
+            configuration=12,
+            configuration_written_in=2,
         ),
+        ConfigurationRequest(),
+        ConfigurationReply(b'\x00', 2),
+        RowsRelay('t', 1, 2, (StoredRow('k', b'x', 2),), history=3),
         Ok(),
     ],
 )
@@ -73,7 +85,8 @@
 
 # Instances of two releases run side by side during an update.
 @pytest.mark.parametrize(
-    ('present', 'absent'), [('later', ''), ('', 'leaving_targets')]
+    ('present', 'absent'),
+    [('later', ''), ('', 'leaving_targets'), ('', 'histories')],
 )
 def test_heartbeat_of_another_release_is_decoded(
     present: str, absent: str
@@ -121,6 +134,9 @@
     'store_answers': True,
     'rates': {'s': 2.5},
     'leaving_targets': [{'name': 't', 'incarnation': 1}],
+    'histories': {'t': 1},
+    'outdated_targets': [{'name': 't', 'incarnation': 1, 'sequence': 2}],
+    'held_evacuations_s': {'east-a': 1.5},
     'losses': [{'fingerprint': 'f', 'target': 't', 'incarnation': 1}],
     'rate_limits': [
         {'target': 't', 'incarnation': 1, 'total_per_s': 2, 'age_s': 0.5}
@@ -150,6 +166,10 @@
         ('FleetBeat', BEAT, 'positions.t'),
         ('FleetBeat', BEAT, 'ages_s.t'),
         ('FleetBeat', BEAT, 'rates.s'),
+        ('FleetBeat', BEAT, 'histories.t'),
+        ('FleetBeat', BEAT, 'outdated_targets.sequence'),
+        ('FleetBeat', BEAT, 'held_evacuations_s.east-a'),
+        ('FleetBeat', BEAT, 'configuration'),
         ('FleetBeat', BEAT, 'known_from'),
         ('FleetBeat', BEAT, 'losses.incarnation'),
         ('FleetBeat', BEAT, 'rate_limits.incarnation'),
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -7,7 +7,7 @@
 from tamarackway_core.numbers import Duration, Rate, Serial
 from tamarackway_core.places import parse_address
 from tamarackway_core.quarantine import Loss
-from tamarackway_core.steering import LeavingTarget
+from tamarackway_core.steering import LeavingTarget, OutdatedTarget
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +62,10 @@
         leaving.
     :param histories: history of the store that the versions of each table
         belong to.
+    :param outdated_targets: targets that a restored store lists, although the
+        sender knows them to be gone or leaving.
+    :param held_evacuations_s: for how many seconds the sender will hold each
+        evacuation that a restored store lacks.
     :param configuration: number of the configuration in force at the sender, 0
         without one.
     :param configuration_written_in: history of the store in which that was
@@ -79,6 +83,8 @@
     rate_limits: tuple[TargetRateLimit, ...] = ()
     leaving_targets: tuple[LeavingTarget, ...] = ()
     histories: Mapping[str, Serial] = field(default_factory=dict)
+    outdated_targets: tuple[OutdatedTarget, ...] = ()
+    held_evacuations_s: Mapping[str, Duration] = field(default_factory=dict)
     configuration: Serial = 0
     configuration_written_in: Serial = 0
 
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -9,6 +9,8 @@
     Configuration,
     ConfigurationOrder,
     DemandTracker,
+    EvacuationTracker,
+    OutdatedTarget,
     RouteTable,
     RunTimeEstimator,
     ServicePolicy,
@@ -45,6 +47,7 @@
         self.ready = anyio.Event()
         self.routes = RouteTable(())
         self.catalogue = Catalogue()
+        self.evacuations = EvacuationTracker()
         self.target_stats = TargetStatsRegistry()
         self.run_times = RunTimeEstimator()
         self.demand = DemandTracker(region)
@@ -110,6 +113,22 @@
         self.targets_loaded = True
         self._check_ready()
 
+    def mark_outdated(self, target: OutdatedTarget, now_s: float) -> None:
+        """Record that a peer knows a target to be gone or leaving.
+
+        :param target: its last record, as the peer knows it.
+        :param now_s: monotonic time in seconds.
+        """
+        self.catalogue.outdated.record_peer_report(target)
+        record = self.catalogue.find(target.name)
+        if record is None or record.leaving:
+            return
+        known = (record.incarnation, record.sequence)
+        if known <= (target.incarnation, target.sequence):
+            self.catalogue.remove(target.name)
+            self.catalogue.outdated.record_peer_report(target)
+            self.catalogue.put(record, now_s, is_copy=True)
+
     def policy(self, service: str) -> ServicePolicy:
         """Return the operator's policy for a service.
 
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -73,6 +73,8 @@
             rate_limits=self._state.selector.rate_limiter.list_own(now_s),
             leaving_targets=self._state.catalogue.departures.list_recent(now_s),
             histories=self._follow.histories(),
+            outdated_targets=self._state.catalogue.outdated.list_recent(now_s),
+            held_evacuations_s=self._state.evacuations.held_s(now_s),
             configuration=configuration.version if configuration else 0,
             configuration_written_in=self._state.configurations.written_in,
         )
@@ -103,6 +105,11 @@
             self._state.quarantine.report(loss, now_s)
         for limit in heartbeat.rate_limits:
             self._state.selector.rate_limiter.update_from_peer(limit, now_s)
+        self._state.evacuations.hold_for_peer(
+            heartbeat.held_evacuations_s, now_s
+        )
+        for outdated in heartbeat.outdated_targets:
+            self._state.mark_outdated(outdated, now_s)
         for target in heartbeat.leaving_targets:
             self._state.catalogue.mark_leaving(
                 target.name, target.incarnation, now_s, from_peer=True
--- a/packages/entry/src/tamarackway_entry/tests/test_instance.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_instance.py
@@ -43,3 +43,24 @@
     peer.handle_heartbeat(told.build_heartbeat(), build_member('i1'))
     assert not peer_state.catalogue.is_usable('t')
     assert not peer.build_heartbeat().leaving_targets
+
+
+# Guards against a new instance that sends requests to a target which has left,
+# since the restored store still lists it, and against instances that tell each
+# other so without end.
+def test_peer_learns_that_a_record_is_outdated() -> None:
+    clock = ManualClock()
+    knowing, knowing_state = build_instance('i1', clock)
+    added, added_state = build_instance('i2', clock)
+    knowing_state.catalogue.remove('t')
+    knowing_state.catalogue.put(TARGET, clock.now_s(), is_copy=True)
+    for _ in range(3):
+        clock.moment_s += 1
+        added.handle_heartbeat(knowing.build_heartbeat(), build_member('i1'))
+        assert not added_state.catalogue.is_usable('t')
+        assert not added.build_heartbeat().outdated_targets
+    clock.moment_s += 20
+    assert not knowing.build_heartbeat().outdated_targets
+    for state in (knowing_state, added_state):
+        state.catalogue.adopt_older(clock.now_s())
+        assert state.catalogue.is_usable('t')
