Let peers serve requests whose targets cannot be reached

For seconds after the cut half of the requests still failed.

Cause: an instance sent to targets itself or not at all. Each lost connection counted as a crashed target, each ejection outlasted the cut, and targets that answered again counted as cold.

A monitor tells a cut of the own path from targets that have failed: several fail, and none responds since. A loss is reported only once another target has responded. A probe ends the cut and lifts what came from it. Look-ups name instances that reach targets first.

--- a/packages/core/src/tamarackway_core/steering/__init__.py
+++ b/packages/core/src/tamarackway_core/steering/__init__.py
@@ -21,6 +21,9 @@
 from tamarackway_core.steering._model import ServiceShare as ServiceShare
 from tamarackway_core.steering._model import TargetRecord as TargetRecord
 from tamarackway_core.steering._ranking import TargetRanking as TargetRanking
+from tamarackway_core.steering._reachability import (
+    ReachabilityMonitor as ReachabilityMonitor,
+)
 from tamarackway_core.steering._regions import split_demand as split_demand
 from tamarackway_core.steering._retry_budget import (
     WindowedRetryBudget as WindowedRetryBudget,
--- a/packages/core/src/tamarackway_core/steering/_selector.py
+++ b/packages/core/src/tamarackway_core/steering/_selector.py
@@ -180,6 +180,20 @@
             default=None,
         )
 
+    def misses_targets(self, query: TargetQuery, now_s: float) -> bool:
+        """Return whether a target of a request is ejected after failures.
+
+        :param query: requirements of the request.
+        :param now_s: monotonic time in seconds.
+        """
+        return any(
+            self._stats.find(record.name, record.incarnation, now_s).is_ejected(
+                now_s
+            )
+            for record in self._catalogue.list_usable(query.service).targets
+            if _is_allowed_region(record, query)
+        )
+
     def return_delay_s(self, query: TargetQuery, now_s: float) -> float | None:
         """Return after how many seconds a refused caller should return.
 
--- a/packages/core/src/tamarackway_core/steering/_target_stats.py
+++ b/packages/core/src/tamarackway_core/steering/_target_stats.py
@@ -38,6 +38,7 @@
         self.in_flight = 0
         self.ejected_until_s = now_s
         self.failures = 0
+        self.failing_since_s = math.inf
         self.shed_rate: float = 0
         self.invalid_rate: float = 0
         self._slowdown = 1.0
@@ -101,7 +102,7 @@
         bounded = min(max(ratio, 1), _MAX_SLOWDOWN)
         self._slowdown = current + _GAIN * (bounded - current)
         self._slowdown_updated_s = now_s
-        self.failures = 0
+        self.clear_failures(now_s)
         self.shed_rate *= 1 - _GAIN
         self.invalid_rate *= 1 - _GAIN
 
@@ -132,9 +133,19 @@
         doubled_s = math.ldexp(_MIN_EJECTION_S, self.failures)
         ejection_s = min(doubled_s, _MAX_EJECTION_S)
         self.failures += 1
+        self.failing_since_s = min(self.failing_since_s, now_s)
         self.ejected_until_s = now_s + ejection_s
         return ejection_s
 
+    def clear_failures(self, now_s: float) -> None:
+        """End an ejection, as if the target had not failed.
+
+        :param now_s: monotonic time in seconds.
+        """
+        self.failures = 0
+        self.failing_since_s = math.inf
+        self.ejected_until_s = now_s
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target is ejected after failures."""
         if now_s < self.ejected_until_s:
--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -22,6 +22,7 @@
     :param peers: address for other entry instances.
     :param ready: whether it may be advertised to callers.
     :param leaving: whether it is shutting down.
+    :param isolated: whether it reaches no target; its peers serve its requests.
     """
 
     name: str
@@ -32,6 +33,7 @@
     peers: str
     ready: bool = False
     leaving: bool = False
+    isolated: bool = False
 
     def __post_init__(self) -> None:
         """Check the addresses, which come from other processes.
@@ -66,6 +68,8 @@
         sender knows them to be gone or leaving.
     :param held_evacuations_s: for how many seconds the sender will hold each
         evacuation that a restored store lacks.
+    :param unreachable_services: services whose targets the sender does not
+        reach.
     :param configuration: number of the configuration in force at the sender, 0
         without one.
     :param configuration_written_in: history of the store in which that was
@@ -85,6 +89,7 @@
     histories: Mapping[str, Serial] = field(default_factory=dict)
     outdated_targets: tuple[OutdatedTarget, ...] = ()
     held_evacuations_s: Mapping[str, Duration] = field(default_factory=dict)
+    unreachable_services: tuple[str, ...] = ()
     configuration: Serial = 0
     configuration_written_in: Serial = 0
 
--- a/packages/entry/src/tamarackway_entry/fleet/_pace.py
+++ b/packages/entry/src/tamarackway_entry/fleet/_pace.py
@@ -117,4 +117,6 @@
         return True
     if heartbeat.store_answers != last.store_answers:
         return True
+    if heartbeat.unreachable_services != last.unreachable_services:
+        return True
     return not set(heartbeat.losses) <= set(last.losses)
--- a/packages/entry/src/tamarackway_entry/forwarding/__init__.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/__init__.py
@@ -10,10 +10,13 @@
     ResponseMetadata as ResponseMetadata,
 )
 from tamarackway_entry.forwarding._codec import TargetCodec as TargetCodec
-from tamarackway_entry.forwarding._forwarder import Forwarder as Forwarder
-from tamarackway_entry.forwarding._forwarder import (
+from tamarackway_entry.forwarding._context import (
     RequestContext as RequestContext,
 )
+from tamarackway_entry.forwarding._detours import DetourCodec as DetourCodec
+from tamarackway_entry.forwarding._detours import DetourRouter as DetourRouter
+from tamarackway_entry.forwarding._detours import DetourSender as DetourSender
+from tamarackway_entry.forwarding._forwarder import Forwarder as Forwarder
 from tamarackway_entry.forwarding._model import ForwardRequest as ForwardRequest
 from tamarackway_entry.forwarding._model import (
     ForwardResponse as ForwardResponse,
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -2,12 +2,9 @@
 
 import hashlib
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
-from anyio.abc import TaskGroup
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.steering import (
     Candidate,
@@ -17,6 +14,15 @@
     pick_service,
 )
 
+from tamarackway_entry.forwarding._context import (
+    RecordCallback,
+    RequestContext,
+)
+from tamarackway_entry.forwarding._detours import (
+    DetourResult,
+    DetourRouter,
+    cancel_on_disconnect,
+)
 from tamarackway_entry.forwarding._model import (
     ForwardRequest,
     ForwardResponse,
@@ -50,40 +56,6 @@
 _MIN_REMAINING_S: Final = 0.02  # no response can arrive in less time
 
 
-@dataclass(slots=True)
-class RequestContext:
-    """State of one request while it is forwarded.
-
-    :param request: the request.
-    :param route: the matching route.
-    :param query: requirements for the target.
-    :param deadline_s: monotonic time by which a response is due.
-    :param disconnected: set once the caller has disconnected.
-    :param tried: names of targets that must not be tried again.
-    :param sent_attempts: number of attempts in which the request was sent.
-    :param may_have_run: whether a target may have run it.
-    :param failed_response: error response of a target, returned if no retry
-        succeeds.
-    :param trail: descriptions of the attempts, for logs.
-    """
-
-    request: ForwardRequest
-    route: Route
-    query: TargetQuery
-    deadline_s: float
-    disconnected: anyio.Event
-    tried: set[str] = field(default_factory=set)
-    sent_attempts: int = 0
-    may_have_run: bool = False
-    failed_response: ForwardResponse | None = None
-    trail: list[str] = field(default_factory=list)
-
-
-RecordCallback = Callable[
-    [ForwardRequest, ForwardResponse, RequestContext | None], None
-]
-
-
 class Forwarder:
     """Forwards requests to targets.
 
@@ -92,6 +64,7 @@
     :param lifecycle: tells which requests a shutdown still admits.
     :param clock: clock of the daemon.
     :param record: called with each ended request and its response.
+    :param detours: lets peers serve requests, None without peers.
     """
 
     def __init__(
@@ -101,6 +74,7 @@
         lifecycle: Lifecycle,
         clock: Clock,
         record: RecordCallback,
+        detours: DetourRouter | None = None,
     ) -> None:
         """Store the dependencies."""
         self._state = state
@@ -108,6 +82,7 @@
         self._lifecycle = lifecycle
         self._clock = clock
         self._record = record
+        self._detours = detours
 
     async def serve(
         self,
@@ -165,6 +140,9 @@
             return _refuse(
                 'no configuration is known yet', _STARTUP_RETRY_AFTER_S
             )
+        if route is None and request.is_detour:
+            # The peer has another configuration, with a route.
+            return _refuse('no route matches here', _RETRY_AFTER_S)
         if route is None:
             return _NO_ROUTE
         fingerprint = _fingerprint(request)
@@ -187,8 +165,13 @@
     ) -> RequestContext:
         service = pick_service(route.shares, random.random())  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         now_s = self._clock.now_s()
-        self._state.demand.count(service, now_s)
-        self._state.retry_budget(service).count_request(now_s)
+        if not request.is_detour:
+            self._state.retry_budget(service).count_request(now_s)
+        if request.is_detour or not self._state.reachability.is_cut_off(
+            service
+        ):
+            # The demand arises where the request is sent to a target.
+            self._state.demand.count(service, now_s)
         query = TargetQuery(
             service,
             request.affinity_key if route.sticky else '',
@@ -196,7 +179,14 @@
             request.request_id,
         )
         deadline_s = _deadline_s(request, route)
-        return RequestContext(request, route, query, deadline_s, disconnected)
+        return RequestContext(
+            request,
+            route,
+            query,
+            deadline_s,
+            disconnected,
+            sent_attempts=request.prior_attempts,
+        )
 
     async def _forward(self, context: RequestContext) -> ForwardResponse:
         while True:
@@ -205,14 +195,47 @@
                 return self._give_up(context, 'the caller has left')
             if remaining_s < _MIN_REMAINING_S:
                 return self._give_up(context, 'the time is over')
-            candidate = self._choose(context)
-            if candidate is None:
-                return self._give_up_without_target(context)
-            attempt = await self._attempt(context, candidate, remaining_s)
-            response = self._evaluate(context, attempt)
+            response = await self._try_next(context, remaining_s)
             if response is not None:
                 return response
 
+    async def _try_next(
+        self, context: RequestContext, remaining_s: float
+    ) -> ForwardResponse | None:
+        """Try a target or a peer; return None if another one must be tried."""
+        candidate = self._choose(context)
+        if self._detours is not None:
+            peer = self._detours.find_peer(
+                context, has_target=candidate is not None
+            )
+            if peer is not None:
+                result = await self._detours.serve(context, peer, remaining_s)
+                return self._evaluate_detour(context, result)
+        if candidate is None or self._is_known_to_fail(context):
+            return self._give_up_without_target(context)
+        attempt = await self._attempt(context, candidate, remaining_s)
+        return self._evaluate(context, attempt)
+
+    def _is_known_to_fail(self, context: RequestContext) -> bool:
+        """Return whether a direct attempt would fail as the last one did."""
+        is_cut_off = self._state.reachability.is_cut_off(context.query.service)
+        return is_cut_off and context.failed_connects > 0
+
+    def _evaluate_detour(
+        self, context: RequestContext, result: DetourResult
+    ) -> ForwardResponse | None:
+        """Return the final response, or None to try another way."""
+        response = result.response
+        if result.outcome == AttemptOutcome.NOT_SENT:
+            return None
+        if response is None:
+            return self._give_up(context, result.error)
+        if response.origin == Origin.REFUSAL:
+            return None
+        if response.origin == Origin.TARGET:
+            self._state.quarantine.clear(_fingerprint(context.request))
+        return response
+
     def _choose(self, context: RequestContext) -> Candidate | None:
         return self._state.selector.select(
             context.query,
@@ -243,6 +266,8 @@
         elapsed_s = self._clock.now_s() - started_s
         if attempt.was_sent:
             context.sent_attempts += 1
+        if attempt.outcome == AttemptOutcome.NOT_SENT:
+            context.failed_connects += 1
         context.may_have_run |= attempt.may_have_run
         context.trail.append(_describe_attempt(candidate, attempt, elapsed_s))
         # A target that sends something invalid has not crashed.
@@ -269,7 +294,7 @@
             AttemptOutcome.ABANDONED, error='the caller has left'
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_on_disconnect, context.disconnected, group)
+            group.start_soon(cancel_on_disconnect, context.disconnected, group)
             attempt = await self._sender.send(
                 request,
                 candidate,
@@ -321,6 +346,12 @@
     ) -> ForwardResponse:
         """Return the final response when no target accepts the request."""
         delay_s = None
+        if context.refusal is not None:
+            return self._give_up(
+                context,
+                context.refusal.reason,
+                context.refusal.retry_after_s or _RETRY_AFTER_S,
+            )
         if not context.may_have_run:
             delay_s = self._state.selector.return_delay_s(
                 context.query, self._clock.now_s()
@@ -379,13 +410,6 @@
     )
 
 
-async def _cancel_on_disconnect(
-    disconnected: anyio.Event, group: TaskGroup
-) -> None:
-    await disconnected.wait()
-    group.cancel_scope.cancel()
-
-
 def _refuse(reason: str, retry_after_s: float) -> ForwardResponse:
     return ForwardResponse(
         _UNAVAILABLE,
--- a/packages/entry/src/tamarackway_entry/forwarding/_model.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_model.py
@@ -33,6 +33,10 @@
     :param received_s: monotonic time at which it was received.
     :param timeout_s: time from the receipt in seconds for which the caller
         waits for the response.
+    :param is_detour: whether a peer passed it on, which does not reach the
+        targets itself.
+    :param prior_attempts: number of targets that have received it from the
+        peer.
     """
 
     request_id: str
@@ -45,6 +49,8 @@
     affinity_key: str
     received_s: float
     timeout_s: float
+    is_detour: bool = False
+    prior_attempts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tamarackway_entry/forwarding/_record.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_record.py
@@ -4,7 +4,7 @@
 
 from tamarackway_core.limits import TokenBucket
 
-from tamarackway_entry.forwarding._forwarder import RequestContext
+from tamarackway_entry.forwarding._context import RequestContext
 from tamarackway_entry.forwarding._model import (
     ForwardRequest,
     ForwardResponse,
@@ -68,6 +68,8 @@
         self._metrics.latency_s.labels(*labels).observe(elapsed_s)
         if response.origin != Origin.TARGET:
             self._metrics.refusals.labels(service, response.reason).inc()
+        if context is not None and context.tried_peers:
+            self._metrics.attempts.labels(service, 'detour').inc()
         configuration = self._state.configuration
         details = {
             'request_id': request.request_id,
@@ -79,6 +81,7 @@
             'reason': response.reason,
             'elapsed_ms': round(elapsed_s * _MS_PER_S, 1),
             'configuration': configuration.version if configuration else 0,
+            'is_detour': request.is_detour,
             'trail': context.trail if context else (),
         }
         has_failed = (
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -1,7 +1,7 @@
 """Sends single requests to single targets."""
 
 import enum
-from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,7 +13,9 @@
 from tamarackway_entry.forwarding._announcements import AnnouncementRecorder
 from tamarackway_entry.forwarding._codec import ResponseMetadata, TargetCodec
 from tamarackway_entry.forwarding._connections import TargetConnections
+from tamarackway_entry.forwarding._losses import LossChecker
 from tamarackway_entry.forwarding._model import ForwardRequest
+from tamarackway_entry.forwarding._paths import TargetPaths
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.telemetry import component_logger
@@ -36,7 +38,6 @@
 _MAX_IDLE_AT_MOST_ONCE_S: Final = 2.0
 _IDLE_MARGIN_S: Final = 1.0  # below the idle timeout that a target reports
 _DOWN_AFTER_FAILURES: Final = 2  # a single failure may be a lost packet
-_MAX_PENDING_CHECKS: Final = 64  # further checks replace the oldest ones
 _log = component_logger('targets')
 _OK: Final = 200
 _FIRST_REDIRECT: Final = 300
@@ -99,12 +100,6 @@
         return self.response.status >= _SERVER_ERROR
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingCheck:
-    candidate: Candidate
-    loss: Loss
-
-
 @dataclass(frozen=True, slots=True)
 class _TargetPool:
     """Connections to one incarnation of a target."""
@@ -143,10 +138,9 @@
         self._pools: dict[str, _TargetPool] = {}
         self._max_idle_s: dict[str, float] = {}
         self._announcements = AnnouncementRecorder(state, clock)
-        self._pending_checks: deque[_PendingCheck] = deque(
-            maxlen=_MAX_PENDING_CHECKS
-        )
-        self._check_requested = anyio.Event()
+        self._paths = TargetPaths(state, clock, self._connect)
+        self._paths.on_cut = self._leave_targets
+        self._losses = LossChecker(state, self._paths, clock, self._connect)
 
     async def send(
         self,
@@ -199,19 +193,13 @@
         :param candidate: the target whose connection was lost.
         :param loss: loss to report if the target has crashed.
         """
-        self._pending_checks.append(_PendingCheck(candidate, loss))
-        self._check_requested.set()
+        self._losses.schedule(candidate, loss)
 
     async def run(self) -> None:
-        """Run scheduled checks until cancelled."""
-        while True:
-            await self._check_requested.wait()
-            self._check_requested = anyio.Event()
-            async with anyio.create_task_group() as group:
-                while self._pending_checks:
-                    group.start_soon(
-                        self._check, self._pending_checks.popleft()
-                    )
+        """Run scheduled checks and probe lost paths until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._paths.run)
+            group.start_soon(self._losses.run)
 
     def close_removed(self, names: frozenset[str]) -> None:
         """Close connections to removed targets.
@@ -221,22 +209,6 @@
         for name in self._pools.keys() - names:
             self._close_pool(name)
 
-    async def _check(self, check: _PendingCheck) -> None:
-        candidate = check.candidate
-        try:
-            connection = await self._connect(candidate)
-        except NotSentError as error:
-            _log.warning(
-                'Target %s probably crashed while running a request: %s.',
-                candidate.record.name,
-                error,
-            )
-            now_s = self._clock.now_s()
-            candidate.stats.record_failure(now_s)
-            self._state.quarantine.report(check.loss, now_s)
-            return
-        connection.close()
-
     async def _exchange(
         self,
         request: ForwardRequest,
@@ -253,7 +225,7 @@
             request.request_id, max_idle_s, self._clock.now_s()
         )
         if connection is None:
-            connection = await self._connect(candidate)
+            connection = await self._connect(candidate.record)
             if not self._is_current(candidate.record):
                 connection.close()
                 return AttemptResult(
@@ -299,6 +271,12 @@
         if known is not None:
             known.connections.retire()
 
+    def _leave_targets(self, targets: Sequence[TargetRecord]) -> None:
+        """Close idle connections to targets that cannot be reached."""
+        for record in targets:
+            self._close_pool(record.name)
+        self._losses.discard()
+
     def _is_current(self, record: TargetRecord) -> bool:
         """Return whether a target still accepts requests as it was chosen."""
         catalogue = self._state.catalogue
@@ -353,8 +331,7 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, response, metadata)
 
-    async def _connect(self, candidate: Candidate) -> Connection:
-        record = candidate.record
+    async def _connect(self, record: TargetRecord) -> Connection:
         started_s = self._clock.now_s()
         round_trip_s = self._state.selector.round_trip_s(record.place.region)
         timeout_s = _CONNECT_ROUND_TRIPS * round_trip_s + _CONNECT_MARGIN_S
@@ -375,6 +352,9 @@
     ) -> None:
         now_s = self._clock.now_s()
         stats = candidate.stats
+        if attempt.response is not None:
+            self._paths.record_response(candidate.record, started_s)
+            self._losses.record_response(candidate.record.name, started_s)
         if (
             attempt.response is not None
             and stats.failures >= _DOWN_AFTER_FAILURES
@@ -396,6 +376,11 @@
             return
         self._close_pool(candidate.record.name)
         self._record_failure(candidate, attempt, now_s)
+        is_lost = attempt.outcome == AttemptOutcome.LOST
+        if attempt.outcome == AttemptOutcome.NOT_SENT or (
+            is_lost and not attempt.is_invalid
+        ):
+            self._paths.record_failure(candidate.record)
 
     def _record_failure(
         self, candidate: Candidate, attempt: AttemptResult, now_s: float
--- a/packages/entry/src/tamarackway_entry/forwarding/_state.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_state.py
@@ -11,6 +11,7 @@
     DemandTracker,
     EvacuationTracker,
     OutdatedTarget,
+    ReachabilityMonitor,
     RouteTable,
     RunTimeEstimator,
     ServicePolicy,
@@ -52,6 +53,7 @@
         self.run_times = RunTimeEstimator()
         self.demand = DemandTracker(region)
         self.quarantine = QuarantineRegistry()
+        self.reachability = ReachabilityMonitor()
         self.selector = TargetSelector(
             region,
             self.catalogue,
@@ -129,6 +131,24 @@
             self.catalogue.outdated.record_peer_report(target)
             self.catalogue.put(record, now_s, is_copy=True)
 
+    def end_cut(
+        self, service: str, failed_since_s: float, now_s: float
+    ) -> None:
+        """Use all targets of a service again after a cut of the own path.
+
+        Only failures since the cut began were not those of the targets.
+
+        :param service: name of the service.
+        :param failed_since_s: monotonic time of the first failure.
+        :param now_s: monotonic time in seconds.
+        """
+        for record in self.catalogue.list_usable(service).targets:
+            stats = self.target_stats.find(
+                record.name, record.incarnation, now_s
+            )
+            if stats.failing_since_s >= failed_since_s:
+                stats.clear_failures(now_s)
+
     def policy(self, service: str) -> ServicePolicy:
         """Return the operator's policy for a service.
 
--- a/packages/entry/src/tamarackway_entry/instance/_instance.py
+++ b/packages/entry/src/tamarackway_entry/instance/_instance.py
@@ -75,6 +75,7 @@
             histories=self._follow.histories(),
             outdated_targets=self._state.catalogue.outdated.list_recent(now_s),
             held_evacuations_s=self._state.evacuations.held_s(now_s),
+            unreachable_services=self._state.reachability.list_cut_off(),
             configuration=configuration.version if configuration else 0,
             configuration_written_in=self._state.configurations.written_in,
         )
@@ -100,6 +101,9 @@
             member.region,
             heartbeat.rates,
         )
+        self._state.reachability.update_peer(
+            member.name, frozenset(heartbeat.unreachable_services)
+        )
         now_s = self._clock.now_s()
         for loss in heartbeat.losses:
             self._state.quarantine.report(loss, now_s)
@@ -141,8 +145,9 @@
         self._follow.apply_relay(relay)
 
     def handle_peer_failure(self, name: str) -> None:
-        """Discard the request rates of a failed peer."""
+        """Discard the state of a failed peer."""
         self._state.demand.remove_peer(name)
+        self._state.reachability.remove_peer(name)
 
     def update_fleet_size(self, peers: Sequence[FleetMember]) -> None:
         """Update the size of the fleet, by which shared budgets are divided.
@@ -173,4 +178,5 @@
             self._own,
             ready=self.is_ready,
             leaving=self._lifecycle.is_leaving,
+            isolated=self._state.reachability.is_isolated(),
         )
--- a/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
@@ -43,7 +43,7 @@
         )
         self.attempts = prom.Counter(
             'tamarackway_attempts',
-            'Attempts at targets; kind is first, hedge or retry.',
+            'Attempts; kind is first, hedge, retry, trial or detour.',
             ['service', 'kind'],
             registry=registry,
         )
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -43,6 +43,7 @@
     address=Address('127.0.0.1', 80),
     slots=3,
 )
+OTHER = dataclasses.replace(RECORD, name='other')
 COMPLETE = Response(200, (), b'ok')
 
 
@@ -104,6 +105,7 @@
         policy = ServicePolicy('s', cold_s=3, cold_per_s=5)
         self.state.configure(Configuration(1, services={'s': policy}))
         self.state.catalogue.put(RECORD, self.clock.now_s())
+        self.state.catalogue.put(OTHER, self.clock.now_s())
         self.record = RECORD
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
@@ -125,12 +127,20 @@
         self.connection = FakeConnection(self.outcome)
         return self.connection
 
-    def build_candidate(self) -> Candidate:
+    async def send_to_other(self) -> AttemptResult:
+        """Send a request to the other target, which responds."""
+        self.outcome = COMPLETE
+        return await self.sender.send(
+            make_request(), self.build_candidate(OTHER), 1, at_most_once=True
+        )
+
+    def build_candidate(self, record: TargetRecord | None = None) -> Candidate:
+        record = record or self.record
         stats = self.state.target_stats.find(
-            't', self.record.incarnation, self.clock.now_s()
+            record.name, record.incarnation, self.clock.now_s()
         )
         return Candidate(
-            self.record,
+            record,
             stats,
             cost_s=0,
             warm=False,
@@ -196,6 +206,9 @@
         environment.sender.schedule_check(environment.build_candidate(), loss)
         with anyio.move_on_after(0.1):
             await environment.sender.run()
+        environment.clock.moment_s += 0.01
+        environment.is_reachable = True
+        await environment.send_to_other()
         now_s = environment.clock.now_s()
         return bool(environment.state.quarantine.list_recent(now_s))
 
@@ -207,6 +220,64 @@
     )
 
 
+# Guards against requests that are refused everywhere as deadly, because an
+# instance that is cut off from all targets took them for crashed.
+@pytest.mark.parametrize('confirmed', [False, True])
+def test_loss_is_reported_only_if_another_target_responds(
+    environment: Environment, *, confirmed: bool
+) -> None:
+    loss = Loss('digest', 't', 1)
+
+    async def run() -> None:
+        environment.sender.schedule_check(environment.build_candidate(), loss)
+        environment.is_reachable = False
+        with anyio.move_on_after(0.1):
+            await environment.sender.run()
+        environment.clock.moment_s += 1
+        environment.is_reachable = confirmed
+        await environment.send_to_other()
+
+    anyio.run(run)
+    now_s = environment.clock.now_s()
+    assert bool(environment.state.quarantine.list_recent(now_s)) is confirmed
+    assert environment.state.reachability.is_cut_off('s') is not confirmed
+
+
+# Guards against targets that get few requests, as if they were cold, or none
+# after the path to all of them was cut for a while.
+@pytest.mark.parametrize('failed_before', [False, True])
+def test_targets_are_used_at_once_after_a_cut(
+    environment: Environment, *, failed_before: bool
+) -> None:
+    environment.is_reachable = False
+    if failed_before:
+        environment.send()
+        environment.clock.moment_s += 2.5
+        environment.is_reachable = True
+        anyio.run(environment.send_to_other)
+        environment.is_reachable = False
+        environment.clock.moment_s += 2.5
+    for _ in range(2):
+        environment.send()
+        anyio.run(environment.send_to_other)
+        environment.clock.moment_s += 2.5
+    assert environment.state.reachability.list_cut_off() == ('s',)
+    environment.is_reachable = True
+    environment.outcome = COMPLETE
+
+    async def probe() -> None:
+        with anyio.move_on_after(0.3):
+            await environment.sender.run()
+
+    anyio.run(probe)
+    now_s = environment.clock.now_s()
+    assert not environment.state.reachability.list_cut_off()
+    failures = environment.build_candidate().stats.failures
+    assert bool(failures) is failed_before
+    assert not environment.build_candidate(OTHER).stats.is_ejected(now_s)
+    assert not environment.state.catalogue.is_cold('t', now_s)
+
+
 # Guards against requests to a target that began to leave after it was chosen,
 # while the connection to it was opened.
 @pytest.mark.parametrize('change', ['leaving', 'removed', 'evacuated'])
