Refuse a request at once if its peer refused it and no path is left

A request whose detour was refused was then offered to targets that the instance does not reach, if it had not failed there itself yet: with hanging connections the refusal came a connect time-out later. Found by the test that peers heed the limits of targets, in which the fake targets answered.

--- a/packages/core/src/tamarackway_core/tests/test_wire.py
+++ b/packages/core/src/tamarackway_core/tests/test_wire.py
@@ -70,6 +70,7 @@
             histories={'t': 2},
             outdated_targets=(OutdatedTarget('t1', 2, 9),),
             held_evacuations_s={'east-a': 4.5},
+            unreachable_services=('s',),
             configuration=12,
             configuration_written_in=2,
         ),
@@ -86,7 +87,12 @@
 # Instances of two releases run side by side during an update.
 @pytest.mark.parametrize(
     ('present', 'absent'),
-    [('later', ''), ('', 'leaving_targets'), ('', 'histories')],
+    [
+        ('later', ''),
+        ('', 'leaving_targets'),
+        ('', 'histories'),
+        ('', 'unreachable_services'),
+    ],
 )
 def test_heartbeat_of_another_release_is_decoded(
     present: str, absent: str
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -217,9 +217,10 @@
         return self._evaluate(context, attempt)
 
     def _is_known_to_fail(self, context: RequestContext) -> bool:
-        """Return whether a direct attempt would fail as the last one did."""
+        """Return whether a direct attempt would only delay the refusal."""
         is_cut_off = self._state.reachability.is_cut_off(context.query.service)
-        return is_cut_off and context.failed_connects > 0
+        has_failed = context.failed_connects > 0 or context.refusal is not None
+        return is_cut_off and has_failed
 
     def _evaluate_detour(
         self, context: RequestContext, result: DetourResult
--- a/packages/entry/src/tamarackway_entry/tests/test_fleet.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_fleet.py
@@ -210,6 +210,9 @@
         build_heartbeat(build_member('i1', leaving=True)),
         build_heartbeat(build_member('i1', ready=False)),
         build_heartbeat(build_member('i1'), store_answers=False),
+        replace(
+            build_heartbeat(build_member('i1')), unreachable_services=('s',)
+        ),
         replace(
             build_heartbeat(build_member('i1')),
             losses=(Loss('r', 't', 1),),
@@ -305,6 +308,17 @@
             [build_member('i1', leaving=True, ready=False), build_member('i2')],
             ['i2'],
         ),
+        (
+            [replace(build_member('i1'), isolated=True), build_member('i2')],
+            ['i2'],
+        ),
+        (
+            [
+                replace(build_member('i1'), isolated=True),
+                build_member('i2', region='west'),
+            ],
+            ['i1'],
+        ),
         ([build_member('i1', ready=False)], ['i1']),
         ([build_member('i1', ready=False, leaving=True)], ['i1']),
     ],
