Bind plans, leases and claims to one history of the table

The table service of the earlier interface may be restored from a copy like the store of the platform, and the same cause was there: an accepted plan whose version had been given out before was never adopted; a lost plan was unknown to new instances; leases that the copy lacks could be granted again while their holders still used them; and a request whose claim was lost, or whose older claim was back, could run twice.

The client of the table knows the history of each response. A conditional write names the history of its revision, and is in doubt if the response is of another one. Plans are ordered by history and version, and a lost one is committed again by the instances. Leases wait until those of earlier histories have expired. Where a claim may have been lost, a later submission is told what a response in the table proves, or that the outcome is unknown.

The state machines of claims and leases restore the table from copies of any age, between any two steps and under writes that are on their way. A conditional write that is on its way while the table is restored may still be applied to a row with the same revision; its writer does not rely on it.

--- a/packages/core/src/tamarackway_core/limits/_leased_share.py
+++ b/packages/core/src/tamarackway_core/limits/_leased_share.py
@@ -1,8 +1,10 @@
 """Share of one instance in a cap, with a lease that it renews."""
 
+from dataclasses import replace
 from typing import Final
 
 from tamarackway_core.limits._leases import (
+    FIRST_HISTORY,
     LEASE_DURATION_S,
     LeaseObserver,
     LeaseTable,
@@ -70,17 +72,26 @@
         self._cap_per_s = cap_per_s
         self._floor_per_s = floor_per_s
 
-    def propose(self, table: LeaseTable, now_s: float) -> LeaseTable:
+    def propose(
+        self, table: LeaseTable, now_s: float, history: int = FIRST_HISTORY
+    ) -> LeaseTable:
         """Return the leases with a renewal for this instance.
 
         :param table: the leases as just read.
         :param now_s: monotonic time in seconds after the read.
+        :param history: history of the table that was read.
 
         A smaller share takes effect at once, a larger one only once it is
         confirmed.
         """
+        if table.history != history:
+            table = LeaseTable((), history, is_settled=False)
+        if not (table.is_settled or self._observer.has_settled(history, now_s)):
+            self._proposed_per_s = 0
+            self._leased_per_s = 0
+            return table
         granted = grant(
-            table,
+            replace(table, is_settled=True),
             self._cap_per_s,
             self._holder,
             self._estimate_wanted_per_s(now_s),
--- a/packages/core/src/tamarackway_core/limits/_leases.py
+++ b/packages/core/src/tamarackway_core/limits/_leases.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+FIRST_HISTORY: Final = 1
 LEASE_DURATION_S: Final = 10.0
 _OBSERVED_LEASE_DURATION_S: Final = 11.0  # with a margin, see LeaseObserver
 _FLOOR_FRACTION: Final = 0.5  # of the cap; the rest is leased
@@ -27,9 +28,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseTable:
-    """All leases on one cap, stored as one row of the platform's table."""
+    """All leases on one cap, stored as one row of the platform's table.
+
+    :param leases: the leases.
+    :param history: history of the table in which they were written. A table
+        that was restored from a copy lacks later leases, which their holders
+        still use.
+    :param is_settled: whether all leases of earlier histories have expired.
+    """
 
     leases: tuple[Lease, ...] = ()
+    history: int = FIRST_HISTORY
+    is_settled: bool = True
 
     def find(self, holder: str) -> Lease | None:
         """Return the lease of a holder, or None."""
@@ -107,6 +117,18 @@
     def __init__(self) -> None:
         """Start without observations."""
         self._observations: dict[str, _Observation] = {}
+        self._unsettled = _Observation(FIRST_HISTORY, 0)
+
+    def has_settled(self, history: int, now_s: float) -> bool:
+        """Return whether leases of earlier histories have certainly expired.
+
+        :param history: history of the table, which had begun before.
+        :param now_s: monotonic time in seconds.
+        """
+        if self._unsettled.serial != history:
+            self._unsettled = _Observation(history, now_s)
+        age_s = now_s - self._unsettled.first_seen_s
+        return age_s >= _OBSERVED_LEASE_DURATION_S
 
     def observe(self, table: LeaseTable, now_s: float) -> frozenset[str]:
         """Record the leases as just read and return the expired holders.
--- a/packages/core/src/tamarackway_core/membership/_view.py
+++ b/packages/core/src/tamarackway_core/membership/_view.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from tamarackway_core.numbers import Serial
 from tamarackway_core.places import Instance, State
 from tamarackway_core.quarantine import Loss
 
@@ -26,6 +27,7 @@
     :param leaving: ``name/incarnation`` of targets that reported to it that
         they are leaving.
     :param losses: recent losses of targets known to it.
+    :param plan_history: history of the table in which its plan was committed.
     """
 
     instance: Instance
@@ -36,6 +38,7 @@
     in_flight: Mapping[str, int] = field(default_factory=lambda: _NO_REQUESTS)
     leaving: tuple[str, ...] = ()
     losses: tuple[Loss, ...] = ()
+    plan_history: Serial = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarackway_core/once/__init__.py
+++ b/packages/core/src/tamarackway_core/once/__init__.py
@@ -16,6 +16,7 @@
 from tamarackway_core.once._keys import claim_day as claim_day
 from tamarackway_core.once._keys import claim_row_key as claim_row_key
 from tamarackway_core.once._keys import digest_request as digest_request
+from tamarackway_core.once._keys import may_precede as may_precede
 from tamarackway_core.once._keys import parse_key as parse_key
 from tamarackway_core.once._model import ClaimRow as ClaimRow
 from tamarackway_core.once._model import ClaimState as ClaimState
--- a/packages/core/src/tamarackway_core/once/_keys.py
+++ b/packages/core/src/tamarackway_core/once/_keys.py
@@ -36,7 +36,7 @@
         )
     if key.version != _UUID_VERSION:
         return Refusal(Reason.KEY_INVALID, f'{key} is not a version 7 UUID')
-    age_s = now_s - _created_at_s(key)
+    age_s = now_s - created_at_s(key)
     if age_s < -_MAX_CLOCK_SKEW_S:
         return Refusal(
             Reason.KEY_INVALID, f'{key} has a creation time in the future'
@@ -64,7 +64,17 @@
     :param service: service of the request; keys are unique per service.
     :param key: idempotency key, which contains its creation time.
     """
-    return f'{claim_day(_created_at_s(key))}/{service}/{key}'
+    return f'{claim_day(created_at_s(key))}/{service}/{key}'
+
+
+def may_precede(row_key: str, at_s: float) -> bool:
+    """Return whether a key may have been created before a time.
+
+    :param row_key: row key of a claim.
+    :param at_s: seconds since the epoch, by the clock of this instance.
+    """
+    key = uuid.UUID(row_key.rpartition('/')[2])
+    return created_at_s(key) < at_s + _MAX_CLOCK_SKEW_S
 
 
 def digest_request(method: str, path: str, body: bytes) -> str:
@@ -74,5 +84,6 @@
     return digest.hexdigest()
 
 
-def _created_at_s(key: uuid.UUID) -> float:
+def created_at_s(key: uuid.UUID) -> float:
+    """Return the creation time of a key in seconds since the epoch."""
     return (key.int >> _TIMESTAMP_SHIFT) / _MS_PER_S
--- a/packages/core/src/tamarackway_core/once/_protocol.py
+++ b/packages/core/src/tamarackway_core/once/_protocol.py
@@ -54,10 +54,12 @@
 
     :param row: the claim as written.
     :param revision: revision of the row.
+    :param history: history of the table to which that belongs.
     """
 
     row: ClaimRow
     revision: int
+    history: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +80,9 @@
         a request that cannot be claimed has not run; otherwise an earlier
         attempt may have run it.
     :param registry: attempts of this entry instance.
+    :param may_miss_claims: whether the table may have lost claims of this
+        request, since it was restored from a copy after the first submission.
+        Then only a response that the table holds is certain.
 
     Each method takes the result of the last command and returns the next one.
     A claim is replaced only if its request did not run, according to the row
@@ -92,8 +97,10 @@
         registry: AttemptRegistry,
         *,
         is_first: bool,
+        may_miss_claims: bool = False,
     ) -> None:
         """Start without a write."""
+        self._may_miss_claims = may_miss_claims
         self._row = row
         self._registry = registry
         self._is_first = is_first
@@ -103,7 +110,14 @@
 
     def start(self) -> Command:
         """Return the first command."""
-        return self._write(0)
+        return ReadRow() if self._may_miss_claims else self._write(0)
+
+    def on_history_changed(self) -> Command:
+        """End the attempt, since the table was restored meanwhile.
+
+        Revisions of the earlier history may belong to other rows now.
+        """
+        return self._give_up('the table was restored from a copy')
 
     def on_written(self, revision: int) -> Command:
         """Continue after the claim was written.
@@ -172,6 +186,8 @@
         return Finish(RunResult(Outcome.NOT_RUN, refusal=refusal))
 
     def _write(self, expect: int) -> Command:
+        if self._may_miss_claims:
+            return self._give_up('the table may have lost a later claim')
         if self._writes >= _MAX_WRITES:
             return self._give_up(
                 'the claim row was changed concurrently too often'
--- a/packages/core/src/tamarackway_core/sheet/_model.py
+++ b/packages/core/src/tamarackway_core/sheet/_model.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from tamarackway_core.numbers import Serial
+
 COLUMNS: Final = (
     'row',
     'kind',
@@ -84,6 +86,8 @@
     :param accepted_at_s: time of acceptance in seconds since the epoch,
         according to the clock of the accepting entry instance.
     :param sheet: text of the sheet.
+    :param history: history of the table in which it was committed. A table that
+        was restored from a copy gives versions out again.
     """
 
     version: int
@@ -91,3 +95,9 @@
     author: str
     accepted_at_s: float
     sheet: str
+    history: Serial = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """History and version, which order all accepted plans."""
+        return (self.history, self.version)
--- a/packages/core/src/tamarackway_core/tests/once_model.py
+++ b/packages/core/src/tamarackway_core/tests/once_model.py
@@ -45,6 +45,7 @@
     attempt: Attempt
     protocol: ClaimProtocol
     command: Command
+    history: int
     dispatched: bool = False
     has_run: bool = False
 
@@ -57,6 +58,7 @@
     key: str
     claim: Dispatch
     result: RunResult
+    history: int
 
 
 @dataclass
@@ -66,12 +68,25 @@
     rows: dict[str, tuple[int, ClaimRow]] = field(default_factory=dict)
     delayed: list[tuple[str, ClaimRow, int]] = field(default_factory=list)
     revision: int = 0
+    history: int = 1
+    copies: list[tuple[int, dict[str, tuple[int, ClaimRow]]]] = field(
+        default_factory=list
+    )
+
+    def restore(self, pick: int) -> None:
+        """Return to a copy of any age; revisions are given out again."""
+        self.copies = self.copies[: pick % len(self.copies) + 1]
+        revision, rows = self.copies[-1]
+        self.revision = revision
+        self.rows = dict(rows)
+        self.history += 1
 
     def write(self, key: str, row: ClaimRow, expect: int) -> int | None:
         """Write a row and return its revision, or None after a conflict."""
         revision, _ = self.rows.get(key, (0, None))
         if revision != expect:
             return None
+        self.copies.append((self.revision, dict(self.rows)))
         self.revision += 1
         self.rows[key] = (self.revision, row)
         return self.revision
--- a/packages/core/src/tamarackway_core/tests/test_once_machine.py
+++ b/packages/core/src/tamarackway_core/tests/test_once_machine.py
@@ -113,7 +113,9 @@
         if isinstance(active.command, Dispatch):
             self.run_at_target(active, variant)
             return
-        if isinstance(active.command, WriteRow):
+        if active.history != self.table.history:
+            self.cross_restore(active, variant)
+        elif isinstance(active.command, WriteRow):
             self.write_claim(active, active.command, variant)
         elif isinstance(active.command, ReadRow):
             self.read_claim(active, variant)
@@ -122,6 +124,23 @@
         if isinstance(active.command, Finish):
             self.end(active, active.command.result)
 
+    def cross_restore(self, active: ActiveAttempt, variant: int) -> None:
+        """End an attempt that the restore of the table overtook.
+
+        Its write may have been sent before and be applied after it.
+        """
+        command = active.command
+        if isinstance(command, WriteRow) and variant > 1:
+            row = self.claim_row(active)
+            self.table.write(active.submission.key, row, command.expect)
+        active.command = active.protocol.on_history_changed()
+
+    @precondition(lambda self: self.table.copies)
+    @rule(pick=PICK)
+    def restore(self, pick: int) -> None:
+        """Restore the table from a copy of any age."""
+        self.table.restore(pick)
+
     @precondition(lambda self: self.table.delayed)
     @rule(pick=PICK)
     def deliver_late_write(self, pick: int) -> None:
@@ -137,6 +156,8 @@
         Variant 0 loses the write, 1 writes, and 2 loses the acknowledgement.
         """
         pending = self.pending_outcomes.pop(pick % len(self.pending_outcomes))
+        if pending.history != self.table.history:
+            return
         if variant != 0:
             row = replace(pending.claim.row, state=ClaimState.FREE)
             if pending.result.answer is not None:
@@ -197,11 +218,22 @@
             row,
             entry.registry,
             is_first=submission.is_first,
+            # All keys are older than any restore.
+            may_miss_claims=self.may_miss_claims(submission),
         )
         self.active_attempts.append(
-            ActiveAttempt(submission, attempt, protocol, protocol.start())
+            ActiveAttempt(
+                submission,
+                attempt,
+                protocol,
+                protocol.start(),
+                self.table.history,
+            )
         )
 
+    def may_miss_claims(self, submission: Submission) -> bool:
+        return self.table.history > 1 and not submission.is_first
+
     def claim_row(self, active: ActiveAttempt) -> ClaimRow:
         entry = active.submission.entry
         return ClaimRow(
@@ -309,7 +341,13 @@
             claim = active.command
             assert isinstance(claim, Dispatch)
             self.pending_outcomes.append(
-                PendingOutcome(submission.entry, submission.key, claim, result),
+                PendingOutcome(
+                    submission.entry,
+                    submission.key,
+                    claim,
+                    result,
+                    active.history,
+                ),
             )
         self.check_result(submission, result)
 
@@ -375,9 +413,30 @@
     _step(machine, 0, pick=1)
 
 
+def _send_after_restore(machine: OnceMachine) -> None:
+    machine.send('e1', 'k1', 1)
+    for variant in (3, 3, 3):
+        _step(machine, variant)
+    machine.restore(0)
+    machine.send('e2', 'k1', 1)
+    for _ in range(4):
+        if len(machine.active_attempts) > 1:
+            _step(machine, 3, pick=1)
+
+
+def _trust_all_claims(_machine: OnceMachine, _submission: Submission) -> bool:
+    return False
+
+
 @pytest.mark.parametrize(
     ('script', 'broken', 'method', 'replacement'),
     [
+        (
+            _send_after_restore,
+            OnceMachine,
+            'may_miss_claims',
+            _trust_all_claims,
+        ),
         (
             _send_after_not_run,
             ClaimProtocol,
--- a/packages/core/src/tamarackway_core/tests/test_shares_machine.py
+++ b/packages/core/src/tamarackway_core/tests/test_shares_machine.py
@@ -50,6 +50,7 @@
     read_start_s: float
     proposal: LeaseTable
     expect: int
+    history: int
 
 
 class SharesMachine(RuleBasedStateMachine):
@@ -62,6 +63,8 @@
         self.instances = [self.new_instance(0) for _ in range(INSTANCES)]
         self.table = LeaseTable()
         self.revision = 0
+        self.history = 1
+        self.copies: list[tuple[int, LeaseTable]] = []
         self.renewals: list[Renewal] = []
         self.late: list[Renewal] = []
 
@@ -90,8 +93,12 @@
         for _ in range(wanted):
             instance.share.count()
         read_start_s = self.clock_s(instance)
-        proposal = instance.share.propose(self.table, read_start_s)
-        renewal = Renewal(instance, read_start_s, proposal, self.revision)
+        proposal = instance.share.propose(
+            self.table, read_start_s, self.history
+        )
+        renewal = Renewal(
+            instance, read_start_s, proposal, self.revision, self.history
+        )
         self.renewals = [
             other for other in self.renewals if other.instance is not instance
         ]
@@ -109,6 +116,10 @@
         renewal = self.renewals.pop(pick % len(self.renewals))
         if fault == 0:
             self.late.append(renewal)
+        elif renewal.history != self.history:
+            # Sent before the restore and applied after it: not trusted.
+            if fault == 1:
+                self.write(renewal)
         elif self.write(renewal) and fault > 1:
             renewal.instance.share.confirm(renewal.read_start_s)
 
@@ -118,6 +129,14 @@
         """Apply a write whose acknowledgement has timed out."""
         self.write(self.late.pop(pick % len(self.late)))
 
+    @precondition(lambda self: self.copies)
+    @rule(pick=PICK)
+    def restore(self, pick: int) -> None:
+        """Restore the table from a copy of any age."""
+        self.copies = self.copies[: pick % len(self.copies) + 1]
+        self.revision, self.table = self.copies[-1]
+        self.history += 1
+
     @rule(
         index=st.integers(0, INSTANCES - 1),
         offset_s=st.sampled_from([0.0, -1000.0, 1000.0]),
@@ -141,6 +160,7 @@
     def write(self, renewal: Renewal) -> bool:
         if renewal.expect != self.revision:
             return False
+        self.copies.append((self.revision, self.table))
         self.revision += 1
         self.table = renewal.proposal
         return True
@@ -208,9 +228,24 @@
         machine.pass_time(12)
 
 
+def _settle_at_once(self: LeaseObserver, history: int, now_s: float) -> bool:
+    return True
+
+
+def _renew_after_restore(machine: SharesMachine) -> None:
+    machine.begin_renewal(0, 500)
+    machine.write_renewal(0, 3)
+    machine.restore(0)
+    for _ in range(2):
+        machine.begin_renewal(1, 500)
+        machine.write_renewal(0, 3)
+        machine.shares_stay_under_the_cap()
+
+
 @pytest.mark.parametrize(
     ('script', 'broken', 'method', 'replacement'),
     [
+        (_renew_after_restore, LeaseObserver, 'has_settled', _settle_at_once),
         (_renew_both, LeaseObserver, 'observe', _expire_at_once),
         (_renew_after_expiry, LeasedShare, 'share_per_s', _keep_share),
         (_renew_after_expiry, LeasedShare, 'confirm', _confirm_for_too_long),
@@ -236,3 +271,19 @@
     table = grant(table, 100, 'h2', 40, ())
     shares = {lease.holder: lease.share_per_s for lease in table.leases}
     assert shares == {'h1': 25, 'h2': 25}
+
+
+def test_leases_are_granted_again_after_a_restore() -> None:
+    machine = SharesMachine()
+    machine.begin_renewal(0, 500)
+    machine.write_renewal(0, 3)
+    machine.restore(0)
+    for _ in range(5):
+        machine.begin_renewal(1, 500)
+        machine.write_renewal(0, 3)
+        machine.pass_time(4)
+    machine.begin_renewal(1, 500)
+    machine.write_renewal(0, 3)
+    instance = machine.instances[1]
+    share_per_s = instance.share.share_per_s(machine.clock_s(instance))
+    assert share_per_s > floor_share(CAP_PER_S, INSTANCES)
--- a/packages/core/src/tamarackway_core/wire/_messages.py
+++ b/packages/core/src/tamarackway_core/wire/_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from tamarackway_core.membership import Member
-from tamarackway_core.numbers import Duration
+from tamarackway_core.numbers import Duration, Serial
 from tamarackway_core.once import RunResult
 from tamarackway_core.quarantine import Loss
 from tamarackway_core.sheet import AcceptedPlan
@@ -43,9 +43,11 @@
     """Requests the plan in force.
 
     :param above: version of the plan that the sender already has.
+    :param above_history: history of the table in which that was committed.
     """
 
     above: int
+    above_history: Serial = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/tamarackway_entry/assembly/_local_member.py
+++ b/packages/entry/src/tamarackway_entry/assembly/_local_member.py
@@ -58,4 +58,5 @@
             self._routes.in_flight(),
             self._directory.leaving_incarnations,
             self._losses.list_recent(),
+            self._current.history,
         )
--- a/packages/entry/src/tamarackway_entry/once/_batcher.py
+++ b/packages/entry/src/tamarackway_entry/once/_batcher.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 import anyio
-from tamarackway_core.once import ClaimRow
+from tamarackway_core.once import ClaimRow, may_precede
 
 from tamarackway_entry.once._rows import KEY_PREFIX, row_to_value, value_to_row
 from tamarackway_entry.platform import (
@@ -101,6 +101,18 @@
         self._arrived = anyio.Event()
         self._completed = anyio.Event()
 
+    @property
+    def history(self) -> int:
+        """Newest known history of the table."""
+        return self._table.history
+
+    def may_miss(self, row_key: str) -> bool:
+        """Return whether a restore of the table may have lost a claim.
+
+        :param row_key: key of the row without its prefix.
+        """
+        return may_precede(row_key, self._table.history_began_s)
+
     async def run(self) -> None:
         """Send transactions until cancelled."""
         async with anyio.create_task_group() as group:
@@ -132,7 +144,8 @@
                 in_doubt=False, problem='too many claim writes are pending'
             )
         key = f'{KEY_PREFIX}{row_key}'
-        pending = _PendingWrite(Operation(key, row_to_value(row), expect))
+        operation = Operation(key, row_to_value(row), expect, self.history)
+        pending = _PendingWrite(operation)
         self._pending.append(pending)
         self._arrived.set()
         await pending.done.wait()
--- a/packages/entry/src/tamarackway_entry/once/_claimer.py
+++ b/packages/entry/src/tamarackway_entry/once/_claimer.py
@@ -1,5 +1,7 @@
 """Claims a request in the table before it is dispatched."""
 
+from dataclasses import replace
+
 from tamarackway_core.errors import Reason, Refusal
 from tamarackway_core.once import (
     Attempt,
@@ -86,15 +88,24 @@
             attempt.number,
             ClaimState.CLAIMED,
         )
-        protocol = ClaimProtocol(row, self._registry, is_first=is_first)
+        history = self._batcher.history
+        may_miss_claims = not is_first and self._batcher.may_miss(row_key)
+        protocol = ClaimProtocol(
+            row,
+            self._registry,
+            is_first=is_first,
+            may_miss_claims=may_miss_claims,
+        )
         command = protocol.start()
         while not isinstance(command, (Dispatch, Finish)):
             command = await self._execute(
                 command, protocol, request, row_key, row
             )
+            if self._batcher.history != history:
+                command = protocol.on_history_changed()
         if isinstance(command, Dispatch):
             self._metrics.claims.labels('claimed').inc()
-            return command
+            return replace(command, history=history)
         self._metrics.claims.labels(command.result.outcome).inc()
         return command.result
 
--- a/packages/entry/src/tamarackway_entry/once/_recorder.py
+++ b/packages/entry/src/tamarackway_entry/once/_recorder.py
@@ -98,9 +98,14 @@
         self._in_flight -= 1
 
     async def _try_write(self, record: _Record) -> bool:
+        response = record.result.answer
+        is_current = record.claim.history == self._batcher.history
+        if response is None and not is_current:
+            # The restored table may hold a later claim at that revision.
+            _log.info('Claim %s was lost with its history.', record.row_key)
+            return True
         # FREE: not run, so an attempt with a higher number may replace it
         row = replace(record.claim.row, state=ClaimState.FREE)
-        response = record.result.answer
         if response is not None:
             row = replace(
                 row,
@@ -116,6 +121,6 @@
         write_result = await self._batcher.write(
             record.row_key,
             row,
-            record.claim.revision,
+            record.claim.revision if is_current else 0,
         )
         return not isinstance(write_result, Failed)
--- a/packages/entry/src/tamarackway_entry/plans/_current.py
+++ b/packages/entry/src/tamarackway_entry/plans/_current.py
@@ -17,7 +17,7 @@
 
 
 class CurrentPlan:
-    """Holds the plan in force; its version never decreases."""
+    """Holds the plan in force, which the last accepted one replaces."""
 
     def __init__(self) -> None:
         """Start without a plan."""
@@ -30,13 +30,23 @@
         """Version of the plan in force, or 0 without one."""
         return self.plan.version if self.plan else 0
 
+    @property
+    def history(self) -> int:
+        """History of the table in which the plan in force was committed."""
+        return self.plan.history if self.plan else 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """History and version of the plan in force."""
+        return (self.history, self.version)
+
     def adopt(self, push: PlanPush) -> bool:
         """Put a plan in force if it is newer, and return whether it was.
 
         :param push: the plan and the shares that its ramps start from.
         :raises SheetError: if the sheet is invalid.
         """
-        if push.plan.version <= self.version:
+        if push.plan.order <= self.order:
             return False
         rules = PlanRules(parse_sheet(push.plan.sheet))
         self.plan = push.plan
--- a/packages/entry/src/tamarackway_entry/plans/_rows.py
+++ b/packages/entry/src/tamarackway_entry/plans/_rows.py
@@ -25,6 +25,7 @@
         according to the clock of the accepting instance.
     :param token: unique identifier of the submission.
     :param starts: shares by ``service/region`` that its ramps start from.
+    :param history: history of the table in which it was committed.
     """
 
     version: int
@@ -33,6 +34,12 @@
     accepted_at_s: float
     token: str
     starts: Mapping[str, float]
+    history: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """History and version, which order all accepted plans."""
+        return (self.history, self.version)
 
 
 def history_key(version: int) -> str:
--- a/packages/entry/src/tamarackway_entry/plans/_service.py
+++ b/packages/entry/src/tamarackway_entry/plans/_service.py
@@ -24,7 +24,7 @@
     PlanPointer,
     parse_pointer,
 )
-from tamarackway_entry.plans._submit import PlanSubmitter
+from tamarackway_entry.plans._submit import PlanInDoubtError, PlanSubmitter
 from tamarackway_entry.platform import (
     StoreInDoubtError,
     StoreUnavailableError,
@@ -155,11 +155,11 @@
 
     async def _request_confirmation(self) -> None:
         # a peer at version 0 has no plan and cannot confirm one
-        version = max(self.current.version, 1)
+        order = max(self.current.order, (0, 1))
         up_to_date = [
             member.instance.name
             for member in self._peers.list_live()
-            if member.plan_version >= version
+            if (member.plan_history, member.plan_version) >= order
         ]
         async with anyio.create_task_group() as group:
             group.start_soon(self._poll)
@@ -192,7 +192,11 @@
                 bypass_breaker=not self._confirmation.is_confirmed,
             )
             await self._apply_pointer(parse_pointer(rows[0].value), epoch)
-        except (StoreUnavailableError, StoreInDoubtError) as error:
+        except (
+            StoreUnavailableError,
+            StoreInDoubtError,
+            PlanInDoubtError,
+        ) as error:
             _log.debug('Could not read the plan from the table: %s.', error)
 
     async def _apply_pointer(
@@ -200,9 +204,22 @@
         pointer: PlanPointer | None,
         epoch: int,
     ) -> None:
+        push = self.current.as_push()
+        if push is not None and (
+            pointer is None or pointer.order < push.plan.order
+        ):
+            # Only a table that was restored from a copy is behind.
+            restored = await self._submitter.submit_again(push)
+            if restored is not None:
+                _log.info(
+                    'Plan %d was lost and is committed again.',
+                    push.plan.version,
+                )
+                self._adopt(restored)
+            return
         if pointer is None:
             return
-        if pointer.version > self.current.version:
+        if pointer.order > self.current.order:
             sheet = await self._submitter.fetch_sheet(pointer.digest)
             plan = AcceptedPlan(
                 pointer.version,
@@ -210,13 +227,14 @@
                 pointer.author,
                 pointer.accepted_at_s,
                 sheet,
+                pointer.history,
             )
             self._adopt(PlanPush(plan, pointer.starts))
         self._confirmation.confirm(epoch)
 
     async def _pull_from(self, name: str) -> None:
         epoch = self._confirmation.epoch()
-        request = PlanRequest(self.current.version)
+        request = PlanRequest(self.current.version, self.current.history)
         try:
             reply = await self._peers.request(name, request)
         except PeerUnreachableError as error:
@@ -229,9 +247,10 @@
         self._confirmation.confirm(epoch)
 
     def _handle_heartbeat(self, member: Member) -> None:
-        if member.plan_version > self.current.version:
+        order = (member.plan_history, member.plan_version)
+        if order > self.current.order:
             self._newer_peers.add(member.instance.name)
-        elif member.plan_version == self.current.version:
+        elif order == self.current.order:
             self._confirmation.refresh()
 
     async def _handle_push(self, push: PlanPush) -> Message:
@@ -240,7 +259,8 @@
 
     async def _handle_request(self, request: PlanRequest) -> Message:
         push = self.current.as_push()
-        if push is None or push.plan.version <= request.above:
+        above = (request.above_history, request.above)
+        if push is None or push.plan.order <= above:
             return PlanReply(None)
         return PlanReply(push)
 
--- a/packages/entry/src/tamarackway_entry/plans/_submit.py
+++ b/packages/entry/src/tamarackway_entry/plans/_submit.py
@@ -2,7 +2,7 @@
 
 import enum
 import uuid
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Final
 
 import anyio
@@ -110,6 +110,7 @@
             self._clock.time_s(),
             str(uuid.uuid4()),
             await self._current_shares(current),
+            self._table.history,
         )
         if not await self._commit(pointer, row.revision):
             newer = (await self._table.read([POINTER_KEY]))[0]
@@ -120,9 +121,39 @@
             author,
             pointer.accepted_at_s,
             sheet,
+            pointer.history,
         )
         return PlanPush(accepted, pointer.starts)
 
+    async def submit_again(self, push: PlanPush) -> PlanPush | None:
+        """Commit a plan again that a restored table has lost.
+
+        Returns the plan as it is committed now, or None if another instance
+        or operator was faster.
+
+        :param push: the plan in force, with the starts of its ramps.
+        :raises StoreUnavailableError: if it was not accepted.
+        :raises PlanInDoubtError: if the result of the commit is unknown.
+        """
+        plan = push.plan
+        row = (await self._table.read([POINTER_KEY]))[0]
+        stored = parse_pointer(row.value)
+        if stored is not None and stored.order >= plan.order:
+            return None
+        await self._objects.put(object_key(plan.digest), plan.sheet.encode())
+        pointer = PlanPointer(
+            plan.version,
+            plan.digest,
+            plan.author,
+            plan.accepted_at_s,
+            str(uuid.uuid4()),
+            push.starts,
+            self._table.history,
+        )
+        if not await self._commit(pointer, row.revision):
+            return None
+        return PlanPush(replace(plan, history=pointer.history), push.starts)
+
     async def fetch_sheet(self, digest: str) -> str:
         """Fetch a sheet by its digest.
 
@@ -140,8 +171,10 @@
         """Write pointer and history row; return False on a conflict."""
         value = asdict(pointer)
         operations = [
-            Operation(POINTER_KEY, value, revision),
-            Operation(history_key(pointer.version), value, 0),
+            Operation(POINTER_KEY, value, revision, pointer.history),
+            Operation(
+                history_key(pointer.version), value, history=pointer.history
+            ),
         ]
         try:
             committed = await self._table.transact(operations)
@@ -188,7 +221,9 @@
         """
         if current.value is None:
             return _CommitStatus.OPEN
-        write = Operation(POINTER_KEY, current.value, current.revision)
+        write = Operation(
+            POINTER_KEY, current.value, current.revision, self._table.history
+        )
         committed = await self._table.transact([write])
         if isinstance(committed, Committed):
             return _CommitStatus.NOT_WRITTEN
--- a/packages/entry/src/tamarackway_entry/platform/_table.py
+++ b/packages/entry/src/tamarackway_entry/platform/_table.py
@@ -1,6 +1,7 @@
 """Client of the transactional table service."""
 
 import json
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, Final
@@ -34,6 +35,7 @@
 _BREAKER_CHECK_INTERVAL_S: Final = 0.1
 _PROBE_KEY: Final = 'probe'
 _JSON: Final = 'application/json'
+_FIRST_HISTORY: Final = 1
 _log = component_logger('table')
 
 
@@ -57,11 +59,14 @@
     :param value: new JSON value, or None to delete the row.
     :param expect: revision that the row must have, 0 if it must be absent,
         or :data:`ANY_REVISION`.
+    :param history: history of the table to which that revision belongs, or
+        None if it does not matter.
     """
 
     key: str
     value: Any
     expect: int | None = ANY_REVISION
+    history: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +101,12 @@
 class TableService:
     """Client of the table, guarded by a circuit breaker.
 
+    The table may be restored from an older copy, which begins a new history:
+    revisions go back and are given out again. ``history`` is the newest known
+    one, and ``history_began_s`` a time in seconds
+    since the epoch at which it had begun, minus infinity if the table was never
+    restored.
+
     :param pool: connections to the table.
     :param timeout_s: request timeout in seconds.
     :param clock: clocks of the daemon.
@@ -115,6 +126,8 @@
         self._clock = clock
         self._metrics = metrics
         self._breaker = CircuitBreaker(_PROBE_INTERVAL_S)
+        self.history = _FIRST_HISTORY
+        self.history_began_s = -math.inf
 
     @property
     def is_up(self) -> bool:
@@ -142,6 +155,9 @@
             may still be applied.
         """
         self._raise_if_unavailable()
+        sent_in = self.history
+        if any(each.history not in {None, sent_in} for each in operations):
+            raise StoreUnavailableError('the table was restored from a copy')
         self._metrics.table_writes.inc()
         body = {
             'operations': [
@@ -155,6 +171,10 @@
         }
         response = await self._call('POST', '/v1/transactions', body)
         document = json.loads(response.body)
+        self._record_history(document)
+        if response.status == _OK and sent_in != self.history:
+            # An expected revision may have been that of another row.
+            raise StoreInDoubtError('the table was restored meanwhile')
         if response.status == _OK:
             return Committed(document['revision'])
         return msgspec.convert(document['conflicts'], list[Conflict])
@@ -199,7 +219,12 @@
             response = await self._call('GET', path, None)
         except StoreInDoubtError as error:
             raise StoreUnavailableError(error.problem) from error
-        return json.loads(response.body)
+        document = json.loads(response.body)
+        try:
+            self._record_history(document)
+        except StoreInDoubtError as error:
+            raise StoreUnavailableError(error.problem) from error
+        return document
 
     async def _call(
         self,
@@ -242,6 +267,16 @@
         except StoreUnavailableError:
             return
 
+    def _record_history(self, document: Any) -> None:
+        """Update the history from a response, or discard an older response."""
+        history = document.get('history', _FIRST_HISTORY)
+        if history < self.history:
+            raise StoreInDoubtError('the response is of an ended history')
+        if history > self.history:
+            self.history_began_s = self._clock.time_s()
+            _log.warning('The table was restored; history %d.', history)
+        self.history = history
+
     def _raise_if_unavailable(self) -> None:
         if self._breaker.is_open:
             raise StoreUnavailableError('the table is down')
--- a/packages/entry/src/tamarackway_entry/shares/_service.py
+++ b/packages/entry/src/tamarackway_entry/shares/_service.py
@@ -159,11 +159,12 @@
 
     async def _write_lease(self, cap: _Cap) -> bool:
         row = (await self._table.read([cap.key]))[0]
+        history = self._table.history
         leases = msgspec.convert(row.value or {}, LeaseTable)
         now_s = self._clock.now_s()
-        proposed = cap.share.propose(leases, now_s)
+        proposed = cap.share.propose(leases, now_s, history)
         cap.update_bucket(now_s)
-        write = Operation(cap.key, asdict(proposed), row.revision)
+        write = Operation(cap.key, asdict(proposed), row.revision, history)
         committed = await self._table.transact([write])
         return isinstance(committed, Committed)
 
--- a/packages/entry/src/tamarackway_entry/tests/fakes.py
+++ b/packages/entry/src/tamarackway_entry/tests/fakes.py
@@ -1,5 +1,6 @@
 """In-memory fakes of the clients and clocks of the daemon."""
 
+import math
 from collections.abc import Sequence
 from typing import cast
 
@@ -43,6 +44,19 @@
         self.apply_lost = True
         self.refuse = False
         self.delay_s = 0.0
+        self.history = 1
+        self.history_began_s = -math.inf
+        self.copies: list[tuple[int, dict[str, Row]]] = []
+
+    def copy(self) -> None:
+        self.copies.append((self.revision, dict(self.rows)))
+
+    def restore(self, now_s: float = 0) -> None:
+        """Return to the last copy."""
+        self.revision, rows = self.copies.pop()
+        self.rows = dict(rows)
+        self.history += 1
+        self.history_began_s = now_s
 
     def as_service(self) -> TableService:
         return cast('TableService', self)
@@ -55,6 +69,8 @@
         await anyio.sleep(self.delay_s)
         if self.refuse:
             raise StoreUnavailableError('refused')
+        if any(each.history not in {None, self.history} for each in operations):
+            raise StoreUnavailableError('restored')
         lost = self.lose_next > 0
         self.lose_next = max(self.lose_next - 1, 0)
         if lost and not self.apply_lost:
--- a/packages/entry/src/tamarackway_entry/tests/test_submit.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_submit.py
@@ -4,7 +4,7 @@
 from tamarackway_core.errors import ConflictError
 from tamarackway_core.sheet import COLUMNS
 
-from tamarackway_entry.plans import PlanSubmitter
+from tamarackway_entry.plans import CurrentPlan, PlanSubmitter
 from tamarackway_entry.platform import StoreUnavailableError
 from tamarackway_entry.tests.fakes import FakeClock, FakeObjects, FakeTable
 
@@ -69,3 +69,44 @@
         await submitter.submit(OTHER_SHEET, 'bob', 1)
     assert table.find('plan/pointer').revision > before
     assert table.find('plan/pointer').value['version'] == 1
+
+
+# Guards against a plan that is accepted after the table was restored, but not
+# put in force, since its version was given out before.
+async def test_plan_after_a_restore_is_ordered_after_all_earlier_ones(
+    submitter: PlanSubmitter, table: FakeTable
+) -> None:
+    current = CurrentPlan()
+    current.adopt(await submitter.submit(SHEET, 'ann', None))
+    table.copy()
+    for sheet in (OTHER_SHEET, SHEET):
+        assert current.adopt(await submitter.submit(sheet, 'ann', None))
+    table.restore()
+    accepted = await submitter.submit(OTHER_SHEET, 'bob', 1)
+    assert accepted.plan.version == 2
+    assert current.adopt(accepted)
+
+
+# Guards against an accepted plan that new instances never learn, since the
+# table was restored from a copy without it.
+@pytest.mark.parametrize('is_overtaken', [False, True])
+async def test_lost_plan_is_committed_again(
+    submitter: PlanSubmitter, table: FakeTable, *, is_overtaken: bool
+) -> None:
+    await submitter.submit(SHEET, 'ann', None)
+    table.copy()
+    lost = await submitter.submit(OTHER_SHEET, 'ann', None)
+    table.restore()
+    if is_overtaken:
+        await submitter.submit(SHEET, 'bob', None)
+    restored = await submitter.submit_again(lost)
+    pointer = table.find('plan/pointer').value
+    if is_overtaken:
+        assert restored is None
+        assert pointer['author'] == 'bob'
+        return
+    assert restored is not None
+    assert restored.plan.order > lost.plan.order
+    assert restored.plan.sheet == OTHER_SHEET
+    assert (pointer['version'], pointer['history']) == (2, 2)
+    assert await submitter.submit_again(restored) is None
--- a/packages/standins/src/tamarackway_standins/table/_rows.py
+++ b/packages/standins/src/tamarackway_standins/table/_rows.py
@@ -1,5 +1,6 @@
 """In-memory rows with revisions and atomic transactions."""
 
+import time
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -19,12 +20,27 @@
 _ABSENT_ROW: Final = Row(0, None)
 
 
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """Rows and revision of the table at one time."""
+
+    at_s: float
+    revision: int
+    rows: dict[str, Row]
+
+
 class Rows:
-    """Rows of the table and counts of its calls."""
+    """Rows of the table and counts of its calls.
+
+    The attribute ``history`` counts how often the table was restored from an
+    older copy, from 1.
+    """
 
     def __init__(self) -> None:
         """Create an empty table."""
         self._rows: dict[str, Row] = {}
+        self._copies: list[_Copy] = []
+        self.history = 1
         self.revision = 0
         self.writes = 0
         self.reads = 0
@@ -51,6 +67,8 @@
         ]
         if conflicts:
             return conflicts
+        copy = _Copy(time.monotonic(), self.revision, dict(self._rows))
+        self._copies.append(copy)
         self.revision += 1
         for operation in operations:
             if operation['value'] is None:
@@ -60,6 +78,21 @@
                 self._rows[operation['key']] = row
         return []
 
+    def restore(self, age_s: float) -> None:
+        """Return to the rows and the revision of some time ago.
+
+        :param age_s: age of the copy in seconds.
+        """
+        copied_s = time.monotonic() - age_s
+        later = [copy for copy in self._copies if copy.at_s > copied_s]
+        if later:
+            self.revision = later[0].revision
+            self._rows = dict(later[0].rows)
+            self._copies = [
+                copy for copy in self._copies if copy.at_s <= copied_s
+            ]
+        self.history += 1
+
     def read(self, key: str) -> dict[str, Any] | None:
         """Return a row as a JSON object, or None."""
         row = self._rows.get(key)
--- a/packages/standins/src/tamarackway_standins/tests/test_standins.py
+++ b/packages/standins/src/tamarackway_standins/tests/test_standins.py
@@ -46,6 +46,17 @@
             assert value == operation['value']
 
 
+@pytest.mark.parametrize(('age_s', 'value'), [(0, 2), (60, None)])
+def test_table_is_restored_from_a_copy(age_s: float, value: int | None) -> None:
+    rows = Rows()
+    for number in (1, 2):
+        rows.transact([{'key': 'a', 'value': number}])
+    rows.restore(age_s)
+    found = rows.read('a')
+    assert (found['value'] if found else None) == value
+    assert (rows.history, rows.revision) == (2, value or 0)
+
+
 @pytest.mark.parametrize(
     ('client', 'server', 'delay_s', 'is_partitioned'),
     [
