Confirm by new connections that a path is cut

Failures now only raise the suspicion. The instance opens connections to three targets, first to those that have not failed; the path counts as cut if none opens.

--- a/packages/core/src/tamarackway_core/steering/_reachability.py
+++ b/packages/core/src/tamarackway_core/steering/_reachability.py
@@ -13,17 +13,19 @@
     def __init__(self) -> None:
         self.failed: set[str] = set()
         self.failed_since_s = math.inf
-        self.cut_since_s = math.inf
+        self.is_suspected = False
+        self.is_cut = False
 
 
 class ReachabilityMonitor:
     """Detects services whose targets this instance cannot reach.
 
-    The path to a service is cut if several of its targets accept no connection
-    or lose one, and none has responded since the first of these failures.
-    Targets that refuse requests or respond slowly are reachable. Whether the
-    targets themselves have failed is up to the peers: they report the services
-    that they do not reach either.
+    A cut is suspected if several targets of a service accept no connection or
+    lose one, and none has responded since the first of these failures. Full
+    targets reset connections too, so the owner opens connections to others and
+    calls :meth:`confirm` if none opens. Targets that refuse requests or respond
+    slowly are reachable. Whether the targets themselves have failed is up to
+    the peers: they report the services that they do not reach either.
     """
 
     def __init__(self) -> None:
@@ -35,7 +37,7 @@
     def record_failure(
         self, service: str, target: str, targets: int, now_s: float
     ) -> bool:
-        """Record a failed connection; return whether it shows a cut.
+        """Record a failed connection; return whether a cut is newly suspected.
 
         :param service: name of the service.
         :param target: name of the target.
@@ -47,10 +49,21 @@
         path.failed_since_s = min(path.failed_since_s, now_s)
         if len(path.failed) < min(_MIN_FAILED_TARGETS, targets):
             return False
-        is_news = math.isinf(path.cut_since_s)
-        path.cut_since_s = min(path.cut_since_s, now_s)
+        is_news = not path.is_suspected
+        path.is_suspected = True
         return is_news
 
+    def confirm(self, service: str) -> bool:
+        """Record that a suspected cut is one; return whether that is news.
+
+        :param service: name of the service.
+        """
+        path = self._paths.get(service)
+        if path is None or not path.is_suspected or path.is_cut:
+            return False
+        path.is_cut = True
+        return True
+
     def record_response(self, service: str, sent_s: float) -> bool:
         """Record a response or an opened connection; return if it ends a cut.
 
@@ -63,12 +76,12 @@
         if path is None or sent_s <= path.failed_since_s:
             return False
         self._paths.pop(service)
-        return math.isfinite(path.cut_since_s)
+        return path.is_cut
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether this instance does not reach a service."""
         path = self._paths.get(service)
-        return path is not None and math.isfinite(path.cut_since_s)
+        return path is not None and path.is_cut
 
     def failed_since_s(self, service: str) -> float:
         """Return the time of the first failure since the last response."""
@@ -80,6 +93,14 @@
         path = self._paths.get(service)
         return path is not None and target in path.failed
 
+    def list_suspected(self) -> tuple[str, ...]:
+        """Return the services that this instance may not reach."""
+        return tuple(
+            service
+            for service, path in self._paths.items()
+            if path.is_suspected
+        )
+
     def list_cut_off(self) -> tuple[str, ...]:
         """Return the services that this instance does not reach."""
         return tuple(filter(self.is_cut_off, self._paths))
@@ -87,9 +108,7 @@
     def is_isolated(self) -> bool:
         """Return whether this instance reaches no target of any service."""
         cuts_s = [
-            path.failed_since_s
-            for path in self._paths.values()
-            if math.isfinite(path.cut_since_s)
+            path.failed_since_s for path in self._paths.values() if path.is_cut
         ]
         return bool(cuts_s) and self._responded_s <= min(cuts_s)
 
--- a/packages/core/src/tamarackway_core/tests/test_reachability.py
+++ b/packages/core/src/tamarackway_core/tests/test_reachability.py
@@ -43,6 +43,11 @@
             monitor.record_failure(service, what, TARGETS, at_s)
         else:
             monitor.record_response(service, what)
+    assert monitor.list_suspected() == cut_off
+    assert not monitor.list_cut_off()
+    assert not monitor.is_isolated()
+    for service in ('a', 'b'):
+        assert monitor.confirm(service) is (service in cut_off)
     assert monitor.list_cut_off() == cut_off
     assert monitor.is_isolated() is isolated
 
@@ -51,6 +56,8 @@
     monitor = ReachabilityMonitor()
     assert monitor.record_failure('a', 't1', 1, 5)
     assert not monitor.record_failure('a', 't1', 1, 6)
+    assert monitor.confirm('a')
+    assert not monitor.confirm('a')
     assert monitor.record_response('a', 7)
     assert not monitor.record_response('a', 8)
 
--- a/packages/entry/src/tamarackway_entry/forwarding/_paths.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_paths.py
@@ -21,9 +21,9 @@
 class TargetPaths:
     """Detects cuts of the paths to targets, and finds out when they end.
 
-    While a service is cut off, connections to its targets are opened in turn.
-    The callback ``on_cut`` is called with the targets of a service at the
-    beginning of a cut.
+    While a cut is suspected, connections to targets of the service are opened
+    in turn. It is confirmed if none opens, and ends once one does. The callback
+    ``on_cut`` is called with the targets of a service once it is confirmed.
 
     :param state: targets and reachability of this instance.
     :param clock: clock of the daemon.
@@ -40,17 +40,18 @@
         self._state = state
         self._clock = clock
         self._connect = connect
-        self._cut = anyio.Event()
+        self._suspected = anyio.Event()
         self._turn = itertools.count()
 
     async def run(self) -> None:
-        """Probe until cancelled, while any service is cut off."""
+        """Probe until cancelled, while any service may be cut off."""
         while True:
-            while self._state.reachability.list_cut_off():
-                await self._probe_all()
+            while services := self._state.reachability.list_suspected():
+                await self._probe_all(services)
+                self._confirm(services)
                 await anyio.sleep(_PROBE_INTERVAL_S)
-            self._cut = anyio.Event()
-            await self._cut.wait()
+            self._suspected = anyio.Event()
+            await self._suspected.wait()
 
     def record_response(self, record: TargetRecord, sent_s: float) -> None:
         """Record that a target responded or accepted a connection.
@@ -78,15 +79,19 @@
         if self._state.reachability.record_failure(
             service, record.name, len(targets), self._clock.now_s()
         ):
-            _log.warning('Service %s is not reachable from here.', service)
-            self.on_cut(targets)
-            self._cut.set()
+            _log.info('Service %s may not be reachable from here.', service)
+            self._suspected.set()
 
-    async def _probe_all(self) -> None:
+    def _confirm(self, services: Sequence[str]) -> None:
+        """Confirm the cuts of services of which no target was reached."""
+        for service in services:
+            if self._state.reachability.confirm(service):
+                _log.warning('Service %s is not reachable from here.', service)
+                self.on_cut(self._state.catalogue.list_usable(service).targets)
+
+    async def _probe_all(self, services: Sequence[str]) -> None:
         records = [
-            record
-            for service in self._state.reachability.list_cut_off()
-            for record in self._choose(service)
+            record for service in services for record in self._choose(service)
         ]
         async with anyio.create_task_group() as group:
             for record in records:
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -240,7 +240,8 @@
     anyio.run(run)
     now_s = environment.clock.now_s()
     assert bool(environment.state.quarantine.list_recent(now_s)) is confirmed
-    assert environment.state.reachability.is_cut_off('s') is not confirmed
+    suspected = environment.state.reachability.list_suspected()
+    assert bool(suspected) is not confirmed
 
 
 # Guards against targets that get few requests, as if they were cold, or none
@@ -261,14 +262,16 @@
         environment.send()
         anyio.run(environment.send_to_other)
         environment.clock.moment_s += 2.5
-    assert environment.state.reachability.list_cut_off() == ('s',)
-    environment.is_reachable = True
-    environment.outcome = COMPLETE
+    assert environment.state.reachability.list_suspected() == ('s',)
 
     async def probe() -> None:
         with anyio.move_on_after(0.3):
-            await environment.sender.run()
+            await vars(environment.sender)['_paths'].run()
 
+    anyio.run(probe)
+    assert environment.state.reachability.list_cut_off() == ('s',)
+    environment.is_reachable = True
+    environment.outcome = COMPLETE
     anyio.run(probe)
     now_s = environment.clock.now_s()
     assert not environment.state.reachability.list_cut_off()
@@ -278,6 +281,31 @@
     assert not environment.state.catalogue.is_cold('t', now_s)
 
 
+# Guards against detours, and connections to all targets that are closed, since
+# some full targets reset connections.
+def test_targets_that_reset_connections_are_no_cut(
+    environment: Environment,
+) -> None:
+    environment.outcome = ConnectionLostError('reset')
+
+    async def send_and_probe() -> None:
+        for record in (RECORD, OTHER):
+            await environment.sender.send(
+                make_request(),
+                environment.build_candidate(record),
+                1,
+                at_most_once=True,
+            )
+        assert environment.state.reachability.list_suspected() == ('s',)
+        environment.clock.moment_s += 0.01
+        with anyio.move_on_after(0.1):
+            await environment.sender.run()
+
+    anyio.run(send_and_probe)
+    assert not environment.state.reachability.list_suspected()
+    assert not environment.state.reachability.list_cut_off()
+
+
 # Guards against requests to a target that began to leave after it was chosen,
 # while the connection to it was opened.
 @pytest.mark.parametrize('change', ['leaving', 'removed', 'evacuated'])
