Do not offer a request again that a peer has offered to targets

The trace shows a request that two peers offered to a target each, and that its own instance then offered to two more; its route allows two.

Cause: a peer's refusal was taken for a request that nobody had received. It says that the request has not run, not that no target had refused it.

The response of a detour now tells how many targets have received the request. They count as attempts, and a request that a peer has offered to a target is refused at once: another try would be an arrival that no retry budget has counted.

--- a/packages/entry/src/tamarackway_entry/forwarding/_detours.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_detours.py
@@ -298,6 +298,9 @@
             context.sent_attempts = context.route.max_attempts
         else:
             context.refusal = response
+            context.sent_attempts = max(
+                context.sent_attempts, response.sent_attempts
+            )
 
 
 async def cancel_on_disconnect(
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+from dataclasses import replace
 from typing import Final
 
 import anyio
@@ -104,7 +105,9 @@
             self._record(request, response, None)
             return response
         context = self._create_context(request, route, disconnected)
-        response = await self._forward(context)
+        response = replace(
+            await self._forward(context), sent_attempts=context.sent_attempts
+        )
         self._record(request, response, context)
         return response
 
@@ -209,8 +212,9 @@
                 context, has_target=candidate is not None
             )
             if peer is not None:
+                sent_before = context.sent_attempts
                 result = await self._detours.serve(context, peer, remaining_s)
-                return self._evaluate_detour(context, result)
+                return self._evaluate_detour(context, result, sent_before)
         if candidate is None or self._is_known_to_fail(context):
             return self._give_up_without_target(context)
         attempt = await self._attempt(context, candidate, remaining_s)
@@ -223,16 +227,23 @@
         return is_cut_off and has_failed
 
     def _evaluate_detour(
-        self, context: RequestContext, result: DetourResult
+        self, context: RequestContext, result: DetourResult, sent_before: int
     ) -> ForwardResponse | None:
-        """Return the final response, or None to try another way."""
+        """Return the final response, or None to try another way.
+
+        :param context: state of the request.
+        :param result: result of the detour.
+        :param sent_before: number of targets that had received it before.
+        """
         response = result.response
         if result.outcome == AttemptOutcome.NOT_SENT:
             return None
         if response is None:
             return self._give_up(context, result.error)
         if response.origin == Origin.REFUSAL:
-            return None
+            # Another try would be a further arrival beyond those of the peer.
+            is_offered = response.sent_attempts > sent_before
+            return self._give_up_without_target(context) if is_offered else None
         if response.origin == Origin.TARGET:
             self._state.quarantine.clear(_fingerprint(context.request))
         return response
--- a/packages/entry/src/tamarackway_entry/forwarding/_model.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_model.py
@@ -65,6 +65,7 @@
     :param reason: why this instance refused the request or failed, for logs.
     :param retry_after_s: seconds after which the caller may retry, or 0.
     :param reservation: counts the memory of the body.
+    :param sent_attempts: number of targets that received the request.
     """
 
     status: int
@@ -74,3 +75,4 @@
     reason: str = ''
     retry_after_s: float = 0
     reservation: Reservation | None = field(default=None, compare=False)
+    sent_attempts: int = field(default=0, compare=False)
