Do not get around the pauses of targets through a peer

Cause: four targets had refused with a Retry-After of 3 s, and the fifth was ejected for responses with endless heads. No target was left, and one was ejected, so each request took a detour; the peer, which had started later and had not been refused, sent it to the targets that wanted nothing from the first instance. The logs of the instances show the detour for every early request. The condition asked only whether any target is ejected: for whatever reason, and whatever the others said.

A target that responds, or wants a pause, is reachable: no path is missing. An ejection now tells whether the target responded, and a detour is taken for ejected targets only if none of the service wants a pause. A confirmed cut takes detours as before.

--- a/packages/core/src/tamarackway_core/steering/_selector.py
+++ b/packages/core/src/tamarackway_core/steering/_selector.py
@@ -181,17 +181,27 @@
         )
 
     def misses_targets(self, query: TargetQuery, now_s: float) -> bool:
-        """Return whether a target of a request is ejected after failures.
+        """Return whether a target of a request is ejected as unreachable.
 
         :param query: requirements of the request.
         :param now_s: monotonic time in seconds.
         """
         return any(
-            self._stats.find(record.name, record.incarnation, now_s).is_ejected(
-                now_s
-            )
-            for record in self._catalogue.list_usable(query.service).targets
-            if _is_allowed_region(record, query)
+            self._stats.find(
+                record.name, record.incarnation, now_s
+            ).is_unreachable(now_s)
+            for record in _list_allowed(self._catalogue, query)
+        )
+
+    def has_paused_targets(self, query: TargetQuery, now_s: float) -> bool:
+        """Return whether a target of a request wants none for some time.
+
+        :param query: requirements of the request.
+        :param now_s: monotonic time in seconds.
+        """
+        return any(
+            self.pauses.wait_s(record.name, record.incarnation, now_s) > 0
+            for record in _list_allowed(self._catalogue, query)
         )
 
     def return_delay_s(self, query: TargetQuery, now_s: float) -> float | None:
@@ -206,8 +216,7 @@
         limiter = self.rate_limiter
         targets = [
             (record.name, record.incarnation)
-            for record in self._catalogue.list_usable(query.service).targets
-            if _is_allowed_region(record, query)
+            for record in _list_allowed(self._catalogue, query)
         ]
         pause_s = min(
             (self.pauses.wait_s(*target, now_s) for target in targets),
@@ -289,9 +298,7 @@
         :param query: requirements of the requests.
         """
         slots = sum(
-            record.slots
-            for record in self._catalogue.list_usable(query.service).targets
-            if _is_allowed_region(record, query)
+            record.slots for record in _list_allowed(self._catalogue, query)
         )
         run_s = self._run_times.cached_s(query.service)
         return slots / run_s / max(self.instances, 1)
@@ -437,6 +444,16 @@
     return candidates
 
 
+def _list_allowed(
+    catalogue: Catalogue, query: TargetQuery
+) -> Iterator[TargetRecord]:
+    return (
+        record
+        for record in catalogue.list_usable(query.service).targets
+        if _is_allowed_region(record, query)
+    )
+
+
 def _is_allowed_region(record: TargetRecord, query: TargetQuery) -> bool:
     allowed = query.home_regions
     return not allowed or record.place.region in allowed
--- a/packages/core/src/tamarackway_core/steering/_target_stats.py
+++ b/packages/core/src/tamarackway_core/steering/_target_stats.py
@@ -41,6 +41,7 @@
         self.failing_since_s = math.inf
         self.shed_rate: float = 0
         self.invalid_rate: float = 0
+        self._responded_last = True
         self._slowdown = 1.0
         self._slowdown_updated_s = now_s
         self._other_load: float = 0
@@ -121,15 +122,17 @@
         self.invalid_rate += _GAIN * (1 - self.invalid_rate)
         if self.invalid_rate <= _MAX_INVALID_RATE:
             return 0
-        return self.record_failure(now_s)
+        return self.record_failure(now_s, responded=True)
 
-    def record_failure(self, now_s: float) -> float:
+    def record_failure(self, now_s: float, *, responded: bool = False) -> float:
         """Eject the target and return the duration of the ejection.
 
         :param now_s: monotonic time in seconds.
+        :param responded: whether the target responded, so that it is reachable.
 
         The duration doubles with each consecutive failure, up to a limit.
         """
+        self._responded_last = responded
         doubled_s = math.ldexp(_MIN_EJECTION_S, self.failures)
         ejection_s = min(doubled_s, _MAX_EJECTION_S)
         self.failures += 1
@@ -153,6 +156,10 @@
         # After an ejection, one request at a time probes the target.
         return self.failures > 0 and self.in_flight > 0
 
+    def is_unreachable(self, now_s: float) -> bool:
+        """Return whether the target is ejected and did not respond last."""
+        return self.is_ejected(now_s) and not self._responded_last
+
     def record_key(self, key: str, now_s: float) -> None:
         """Record that a request with a key was sent to the target."""
         self._keys[key] = now_s
--- a/packages/entry/src/tamarackway_entry/forwarding/_detours.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_detours.py
@@ -282,10 +282,14 @@
             return False
         if self._state.reachability.is_cut_off(context.query.service):
             return True
+        selector, now_s = self._state.selector, self._clock.now_s()
         if has_target:
-            return context.failed_connects >= _MAX_FAILED_CONNECTS
-        return self._state.selector.misses_targets(
-            context.query, self._clock.now_s()
+            is_missing = context.failed_connects >= _MAX_FAILED_CONNECTS
+        else:
+            is_missing = selector.misses_targets(context.query, now_s)
+        # A peer might send the request to a target that refuses it here.
+        return is_missing and not selector.has_paused_targets(
+            context.query, now_s
         )
 
     def _update(self, context: RequestContext, result: DetourResult) -> None:
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -365,7 +365,7 @@
         if attempt.outcome == AttemptOutcome.REFUSED:
             stats.record_shed()
             if attempt.metadata is not None and attempt.metadata.wrong_target:
-                stats.record_failure(now_s)
+                stats.record_failure(now_s, responded=True)
             return
         if attempt.outcome == AttemptOutcome.ANSWERED:
             round_trip_s = self._state.selector.round_trip_s(
