--- a/packages/core/src/tamarackway_core/steering/_selector.py
+++ b/packages/core/src/tamarackway_core/steering/_selector.py
@@ -200,7 +200,7 @@
         :param now_s: monotonic time in seconds.
         """
         return any(
-            self.pauses.wait_s(record.name, record.incarnation, now_s) > 0
+            self.pauses.is_paused(record.name, record.incarnation, now_s)
             for record in _list_allowed(self._catalogue, query)
         )
 
