--- a/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_catalogue_updater.py
@@ -33,11 +33,11 @@
         """Replace the catalogue with the complete list of targets.
 
         :param records: all targets.
-        :param is_restored: whether the store was restored from a copy, whose
-            records may be older than what is known.
         :param after_outage: whether the store was unreachable until now.
             Removed targets then stay in use for a grace period, since
             their records may have expired during the outage.
+        :param is_restored: whether the store was restored from a copy, whose
+            records may be older than what is known.
         """
         known = self._state.catalogue.names
         self.update(
@@ -60,11 +60,11 @@
 
         :param records: the changed targets.
         :param removed: names of targets whose records were removed.
-        :param is_restored: whether the records may stem from a copy that the
-            store was restored from.
         :param after_outage: whether the store was unreachable until now.
             Removed targets then stay in use for a grace period, since
             their records may have expired during the outage.
+        :param is_restored: whether the records may stem from a copy that the
+            store was restored from.
         """
         catalogue = self._state.catalogue
         now_s = self._clock.now_s()
--- a/packages/entry/src/tamarackway_entry/platform/_table.py
+++ b/packages/entry/src/tamarackway_entry/platform/_table.py
@@ -103,9 +103,8 @@
 
     The table may be restored from an older copy, which begins a new history:
     revisions go back and are given out again. ``history`` is the newest known
-    one, and ``history_began_s`` a time in seconds
-    since the epoch at which it had begun, minus infinity if the table was never
-    restored.
+    one, and ``history_began_s`` a time in seconds since the epoch at which it
+    had begun, minus infinity if the table was never restored.
 
     :param pool: connections to the table.
     :param timeout_s: request timeout in seconds.
