Count the requests that are sent on after their callers have left

Neither logs nor metrics told three hypotheses apart: the end of the connection lies unread in the socket while the request is sent; it was read, and nothing asked for it; the request itself was read late. The new counter asks the operating system at each send, and changes nothing else. The new histogram tells how far the event loop is behind.

--- a/packages/entry/src/tamarackway_entry/forwarding/_context.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_context.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import anyio
 from tamarackway_core.steering import Route, TargetQuery
 
 from tamarackway_entry.forwarding._model import (
     ForwardRequest,
     ForwardResponse,
 )
+from tamarackway_entry.serving import Caller
 
 
 @dataclass(slots=True)
@@ -20,7 +20,7 @@
     :param route: the matching route.
     :param query: requirements for the target.
     :param deadline_s: monotonic time by which a response is due.
-    :param disconnected: set once the caller has disconnected.
+    :param caller: its caller, which may leave.
     :param tried: names of targets that must not be tried again.
     :param tried_peers: names of peers that took a detour.
     :param failed_connects: attempts in which no connection could be opened.
@@ -36,7 +36,7 @@
     route: Route
     query: TargetQuery
     deadline_s: float
-    disconnected: anyio.Event
+    caller: Caller
     tried: set[str] = field(default_factory=set)
     tried_peers: set[str] = field(default_factory=set)
     failed_connects: int = 0
--- a/packages/entry/src/tamarackway_entry/forwarding/_detours.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_detours.py
@@ -21,6 +21,7 @@
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.upstream import (
     ConnectionLostError,
     IdleConnectionPool,
@@ -195,6 +196,7 @@
             found = self._codec.matches_request(response, request.request_id)
             return opened.is_first if found is None else found
 
+        context.caller.record_send()
         try:
             received = await connection.exchange(
                 self._codec.encode_detour(
@@ -264,9 +266,7 @@
         with self._lifecycle.track_attempt():
             async with anyio.create_task_group() as group:
                 if context.route.idempotent:
-                    group.start_soon(
-                        cancel_on_disconnect, context.disconnected, group
-                    )
+                    group.start_soon(cancel_on_departure, context.caller, group)
                 result = await self._sender.send(context, peer, remaining_s)
                 group.cancel_scope.cancel()
         self._update(context, result)
@@ -307,9 +307,7 @@
             )
 
 
-async def cancel_on_disconnect(
-    disconnected: anyio.Event, group: TaskGroup
-) -> None:
-    """Cancel the tasks of a group once a caller has disconnected."""
-    await disconnected.wait()
+async def cancel_on_departure(caller: Caller, group: TaskGroup) -> None:
+    """Cancel the tasks of a group once a caller is known to have left."""
+    await caller.wait_until_left()
     group.cancel_scope.cancel()
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -22,7 +22,7 @@
 from tamarackway_entry.forwarding._detours import (
     DetourResult,
     DetourRouter,
-    cancel_on_disconnect,
+    cancel_on_departure,
 )
 from tamarackway_entry.forwarding._model import (
     ForwardRequest,
@@ -37,6 +37,7 @@
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.upstream import Response
 
 _NOT_FOUND: Final = 404
@@ -88,14 +89,13 @@
     async def serve(
         self,
         request: ForwardRequest,
-        disconnected: anyio.Event,
+        caller: Caller,
     ) -> ForwardResponse:
         """Return the response to a request.
 
         :param request: the request.
-        :param disconnected: set once the caller has disconnected. Then no
-            further attempt starts, and a running attempt is cancelled if the
-            request is idempotent.
+        :param caller: its caller. Once it has left, no further attempt starts,
+            and a running attempt is cancelled if the request is idempotent.
         """
         await self._wait_until_ready(request)
         route = self._state.routes.find(request.host, request.path)
@@ -104,7 +104,7 @@
             response = refusal or _NO_ROUTE
             self._record(request, response, None)
             return response
-        context = self._create_context(request, route, disconnected)
+        context = self._create_context(request, route, caller)
         response = replace(
             await self._forward(context), sent_attempts=context.sent_attempts
         )
@@ -164,7 +164,7 @@
         self,
         request: ForwardRequest,
         route: Route,
-        disconnected: anyio.Event,
+        caller: Caller,
     ) -> RequestContext:
         service = pick_service(route.shares, random.random())  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         now_s = self._clock.now_s()
@@ -187,14 +187,14 @@
             route,
             query,
             deadline_s,
-            disconnected,
+            caller,
             sent_attempts=request.prior_attempts,
         )
 
     async def _forward(self, context: RequestContext) -> ForwardResponse:
         while True:
             remaining_s = context.deadline_s - self._clock.now_s()
-            if context.disconnected.is_set():
+            if context.caller.is_known_to_have_left:
                 return self._give_up(context, 'the caller has left')
             if remaining_s < _MIN_REMAINING_S:
                 return self._give_up(context, 'the time is over')
@@ -298,17 +298,22 @@
         request = context.request
         if not context.route.idempotent:
             # The request cannot be retried, so an attempt that has started
-            # runs to its end even if the caller disconnects.
+            # runs to its end even if the caller leaves.
             return await self._sender.send(
-                request, candidate, remaining_s, at_most_once=True
+                request,
+                context.caller,
+                candidate,
+                remaining_s,
+                at_most_once=True,
             )
         attempt = AttemptResult(
             AttemptOutcome.ABANDONED, error='the caller has left'
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(cancel_on_disconnect, context.disconnected, group)
+            group.start_soon(cancel_on_departure, context.caller, group)
             attempt = await self._sender.send(
                 request,
+                context.caller,
                 candidate,
                 remaining_s,
                 at_most_once=False,
--- a/packages/entry/src/tamarackway_entry/forwarding/_record.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_record.py
@@ -70,6 +70,10 @@
             self._metrics.refusals.labels(service, response.reason).inc()
         if context is not None and context.tried_peers:
             self._metrics.attempts.labels(service, 'detour').inc()
+        if context is not None and context.caller.late_sends:
+            self._metrics.load.late_sends.labels(service).inc(
+                context.caller.late_sends
+            )
         configuration = self._state.configuration
         details = {
             'request_id': request.request_id,
@@ -92,7 +96,7 @@
         elif self._line_limiter.take(self._clock.now_s()):
             _log.info('Request ended.', extra=details)
         else:
-            self._metrics.suppressed_lines.inc()
+            self._metrics.load.suppressed_lines.inc()
 
     def _label_route(self, context: RequestContext | None) -> str:
         """Return the metric label of a route.
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -18,6 +18,7 @@
 from tamarackway_entry.forwarding._paths import TargetPaths
 from tamarackway_entry.forwarding._state import SteeringState
 from tamarackway_entry.kernel import Clock
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.telemetry import component_logger
 from tamarackway_entry.upstream import (
     Connection,
@@ -145,6 +146,7 @@
     async def send(
         self,
         request: ForwardRequest,
+        caller: Caller,
         candidate: Candidate,
         remaining_s: float,
         *,
@@ -153,6 +155,7 @@
         """Send a request and return the result of the attempt.
 
         :param request: the request.
+        :param caller: its caller.
         :param candidate: the target.
         :param remaining_s: longest wait for the response in seconds.
         :param at_most_once: whether the request must not run twice.
@@ -162,7 +165,11 @@
         try:
             with anyio.fail_after(remaining_s):
                 attempt = await self._exchange(
-                    request, candidate, remaining_s, at_most_once=at_most_once
+                    request,
+                    caller,
+                    candidate,
+                    remaining_s,
+                    at_most_once=at_most_once,
                 )
         except NotSentError as error:
             attempt = AttemptResult(AttemptOutcome.NOT_SENT, error=str(error))
@@ -212,6 +219,7 @@
     async def _exchange(
         self,
         request: ForwardRequest,
+        caller: Caller,
         candidate: Candidate,
         remaining_s: float,
         *,
@@ -232,6 +240,7 @@
                     AttemptOutcome.WITHDRAWN,
                     error='the target is leaving, paused or restarted',
                 )
+        caller.record_send()
         sent_s = self._clock.now_s()
         try:
             response = await connection.exchange(
--- a/packages/entry/src/tamarackway_entry/instance/_housekeeping.py
+++ b/packages/entry/src/tamarackway_entry/instance/_housekeeping.py
@@ -71,8 +71,9 @@
 
     def _report_stall(self, late_s: float) -> None:
         """Report that requests may have waited for the processor."""
+        self._metrics.load.loop_lag_s.observe(max(late_s, 0))
         if late_s >= _MIN_STALL_S:
-            self._metrics.add_stall(late_s)
+            self._metrics.load.stalled_s.inc(late_s)
             _log.warning('The process did not run for %.2f s.', late_s)
 
     def _report_dropped(self) -> None:
--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -10,6 +10,7 @@
 )
 
 from tamarackway_entry.memory import PROCESS_BUDGET
+from tamarackway_entry.serving._caller import CALLER_EXTENSION, ConnectionEnd
 from tamarackway_entry.serving._parser import RequestParser
 
 # Of everything around bodies: heads, chunk sizes and trailers. Counted from
@@ -78,6 +79,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request; called by the event loop."""
         super().connection_made(transport)  # type: ignore[arg-type]
+        self._end = ConnectionEnd(transport)
         self._time_client()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -124,6 +126,8 @@
         """Start a request; called by the parser."""
         self._in_head = True
         super().on_message_begin()
+        extensions: dict[str, Any] = {CALLER_EXTENSION: self._end.has_come}
+        self.scope['extensions'] = extensions
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, but no trailer; called by the parser."""
--- a/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_metrics.py
@@ -5,6 +5,7 @@
 import prometheus_client as prom
 
 from tamarackway_entry.memory import PROCESS_BUDGET
+from tamarackway_entry.telemetry._load import LoadMetrics
 
 _LATENCY_BUCKETS_S: Final = (
     0.002,
@@ -85,11 +86,6 @@
             ['region', 'service'],
             registry=registry,
         )
-        self.suppressed_lines = prom.Counter(
-            'tamarackway_log_lines_left_out',
-            'Lines on served requests that were left out under load.',
-            registry=registry,
-        )
         self.lines_dropped = prom.Gauge(
             'tamarackway_log_lines_dropped',
             'Log lines dropped because their reader is slow.',
@@ -100,11 +96,7 @@
             'Memory that requests and responses take.',
             registry=registry,
         ).set_function(lambda: PROCESS_BUDGET.used_bytes)
-        self._stalled_s = prom.Counter(
-            'tamarackway_stalled_seconds',
-            'Time by which the process ran later than it should.',
-            registry=registry,
-        )
+        self.load = LoadMetrics(registry)
         self.store_calls = prom.Gauge(
             'tamarackway_store_calls',
             'Calls to the store since the start.',
@@ -128,13 +120,6 @@
             registry=registry,
         )
 
-    def add_stall(self, late_s: float) -> None:
-        """Count time by which the process ran late.
-
-        :param late_s: the time in seconds.
-        """
-        self._stalled_s.inc(late_s)
-
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prom.generate_latest(self.registry)
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -27,6 +27,7 @@
 )
 from tamarackway_entry.forwarding._sender import AttemptOutcome, AttemptResult
 from tamarackway_entry.lifecycle import Lifecycle
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.tests.test_following import ManualClock
 from tamarackway_entry.upstream import Response
 
@@ -51,6 +52,7 @@
     async def send(
         self,
         request: ForwardRequest,
+        caller: Caller,
         candidate: Candidate,
         remaining_s: float,
         *,
@@ -130,10 +132,10 @@
     )
 
     async def serve() -> ForwardResponse:
-        event = anyio.Event()
+        caller = Caller()
         if disconnected:
-            event.set()
-        return await forwarder.serve(request or make_request(), event)
+            caller.mark_left()
+        return await forwarder.serve(request or make_request(), caller)
 
     response = anyio.run(serve)
     assert len(records) == 1
@@ -247,6 +249,7 @@
     async def send(
         self,
         request: ForwardRequest,
+        caller: Caller,
         candidate: Candidate,
         remaining_s: float,
         *,
@@ -276,11 +279,11 @@
     )
 
     async def serve() -> None:
-        disconnected = anyio.Event()
+        caller = Caller()
         async with anyio.create_task_group() as group:
-            group.start_soon(forwarder.serve, make_request(), disconnected)
+            group.start_soon(forwarder.serve, make_request(), caller)
             await anyio.sleep(0.05)
-            disconnected.set()
+            caller.mark_left()
 
     anyio.run(serve)
     assert len(sender.names) == 1
@@ -315,7 +318,7 @@
     async def serve() -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(configure)
-            response = await forwarder.serve(make_request(), anyio.Event())
+            response = await forwarder.serve(make_request(), Caller())
             responses.append(response)
 
     anyio.run(serve)
@@ -336,7 +339,7 @@
     assert record is not None
 
     async def serve() -> ForwardResponse:
-        return await forwarder.serve(make_request(), anyio.Event())
+        return await forwarder.serve(make_request(), Caller())
 
     anyio.run(serve)
     for name in ('t0', 't1'):
--- a/packages/entry/src/tamarackway_entry/tests/test_output.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_output.py
@@ -93,7 +93,7 @@
 def test_metrics_are_rendered_with_their_labels() -> None:
     metrics = Metrics()
     metrics.latency_s.labels('r', 's', 'target').observe(0.03)
-    metrics.suppressed_lines.inc()
+    metrics.load.suppressed_lines.inc()
     text = metrics.render().decode()
     assert 'tamarackway_request_seconds_bucket{le="0.05"' in text
     assert 'tamarackway_log_lines_left_out_total 1.0' in text
--- a/packages/entry/src/tamarackway_entry/tests/test_record.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_record.py
@@ -1,6 +1,5 @@
 """Tests of the metrics of ended requests."""
 
-import anyio
 import pytest
 from tamarackway_core.steering import Route, ServiceShare, TargetQuery
 
@@ -10,6 +9,7 @@
     RequestContext,
     RequestRecorder,
 )
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.telemetry import Metrics
 from tamarackway_entry.tests.test_following import ManualClock
 from tamarackway_entry.tests.test_forwarder import make_request, make_state
@@ -29,7 +29,7 @@
         ),
         TargetQuery('s'),
         deadline_s=101,
-        disconnected=anyio.Event(),
+        caller=Caller(),
     )
 
 
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -25,6 +25,7 @@
 )
 from tamarackway_entry.forwarding import _sender as sender_module
 from tamarackway_entry.forwarding._sender import AttemptOutcome, AttemptResult
+from tamarackway_entry.serving import Caller
 from tamarackway_entry.tests.test_following import ManualClock
 from tamarackway_entry.tests.test_forwarder import make_request
 from tamarackway_entry.upstream import (
@@ -107,6 +108,7 @@
         self.state.catalogue.put(RECORD, self.clock.now_s())
         self.state.catalogue.put(OTHER, self.clock.now_s())
         self.record = RECORD
+        self.caller = Caller()
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
         self.on_connect: Callable[[], None] = lambda: None
@@ -131,7 +133,11 @@
         """Send a request to the other target, which responds."""
         self.outcome = COMPLETE
         return await self.sender.send(
-            make_request(), self.build_candidate(OTHER), 1, at_most_once=True
+            make_request(),
+            self.caller,
+            self.build_candidate(OTHER),
+            1,
+            at_most_once=True,
         )
 
     def build_candidate(self, record: TargetRecord | None = None) -> Candidate:
@@ -153,7 +159,11 @@
         async def run() -> AttemptResult:
             request = dataclasses.replace(make_request(), body=body)
             return await self.sender.send(
-                request, self.build_candidate(), 1, at_most_once=True
+                request,
+                self.caller,
+                self.build_candidate(),
+                1,
+                at_most_once=True,
             )
 
         return anyio.run(run)
@@ -292,6 +302,7 @@
         for record in (RECORD, OTHER):
             await environment.sender.send(
                 make_request(),
+                environment.caller,
                 environment.build_candidate(record),
                 1,
                 at_most_once=True,
