Ask for the caller right before its request is sent on

The cause: whatever sent a request on asked only what the event loop had read so far. The request and the end of its connection lie in the socket together, and the end comes last; under load the event loop reads it long after. The class: a decision on state that is older than the decision.

Now each way to a target asks the operating system right before the send, and once more after it has waited for a connection: first attempt, retry, detour at both instances, look-ups on the interface of our own. A detour ends with its caller, whether it may run twice or not, since the end of the connection is how the peer learns of it; the peer lets a running attempt go on that must not be repeated. Callers that have left take nothing from the retry budget. Requests with a key go on without their caller, which may come back with the key.

--- a/packages/entry/src/tamarackway_entry/callers/_parse.py
+++ b/packages/entry/src/tamarackway_entry/callers/_parse.py
@@ -14,6 +14,7 @@
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.plans import CurrentPlan
 from tamarackway_entry.routes import CallerRequest
+from tamarackway_entry.serving import Caller, find_caller
 from tamarackway_entry.settings import InstanceSettings
 
 SERVICES_PREFIX: Final = '/v1/services/'
@@ -107,6 +108,7 @@
             rule,
             deadline_s,
             attempt,
+            find_caller(scope),
         )
 
     def _build(
@@ -118,6 +120,7 @@
         rule: ServiceRule,
         deadline_s: float,
         attempt: int | None,
+        caller: Caller,
     ) -> CallerRequest:
         request_id = f'{self._instance.name}-{uuid.uuid4()}'
         home = _read_region(headers)
@@ -146,6 +149,7 @@
             digest=digest_request(method, f'{rule.service}{path}', body),
             attempt=attempt,
             decision=decision,
+            caller=caller,
         )
 
     def _parse_deadline_s(
--- a/packages/entry/src/tamarackway_entry/forwarding/_detours.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_detours.py
@@ -29,6 +29,7 @@
     NotSentError,
     Response,
     ResponseTooLargeError,
+    WithdrawnError,
     connect,
 )
 
@@ -190,6 +191,9 @@
                     connection = await connect(parse_address(peer.callers))
             except TimeoutError as error:
                 raise NotSentError(f'{peer.callers} does not accept') from error
+        if context.caller.has_left():
+            connection.close()
+            raise WithdrawnError('the caller has left')
         opened = connection
 
         def matches(response: Response) -> bool:
@@ -265,8 +269,9 @@
         )
         with self._lifecycle.track_attempt():
             async with anyio.create_task_group() as group:
-                if context.route.idempotent:
-                    group.start_soon(cancel_on_departure, context.caller, group)
+                # The end of the connection tells the peer that the caller has
+                # left. The peer decides whether a running attempt goes on.
+                group.start_soon(cancel_on_departure, context.caller, group)
                 result = await self._sender.send(context, peer, remaining_s)
                 group.cancel_scope.cancel()
         self._update(context, result)
--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -194,7 +194,7 @@
     async def _forward(self, context: RequestContext) -> ForwardResponse:
         while True:
             remaining_s = context.deadline_s - self._clock.now_s()
-            if context.caller.is_known_to_have_left:
+            if context.caller.has_left():
                 return self._give_up(context, 'the caller has left')
             if remaining_s < _MIN_REMAINING_S:
                 return self._give_up(context, 'the time is over')
@@ -351,6 +351,8 @@
 
     def _may_retry(self, context: RequestContext) -> bool:
         """Return whether the request may be sent again; count a retry if so."""
+        if context.caller.has_left():
+            return False  # so that it takes nothing from the retry budget
         if context.may_have_run and not context.route.idempotent:
             return False
         if context.sent_attempts >= context.route.max_attempts:
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -39,6 +39,7 @@
 _MAX_IDLE_AT_MOST_ONCE_S: Final = 2.0
 _IDLE_MARGIN_S: Final = 1.0  # below the idle timeout that a target reports
 _DOWN_AFTER_FAILURES: Final = 2  # a single failure may be a lost packet
+_CALLER_LEFT: Final = 'the caller has left'
 _log = component_logger('targets')
 _OK: Final = 200
 _FIRST_REDIRECT: Final = 300
@@ -51,7 +52,7 @@
     A refused request was sent, but the target did not run it. A lost one was
     sent without a valid response, so that the target may have run it. A
     withdrawn one was not sent, since the target began to leave, wanted no more
-    requests or was restarted meanwhile.
+    requests or was restarted meanwhile, or since the caller left.
     """
 
     ANSWERED = 'answered'
@@ -225,6 +226,8 @@
         *,
         at_most_once: bool,
     ) -> AttemptResult:
+        if caller.has_left():
+            return AttemptResult(AttemptOutcome.WITHDRAWN, error=_CALLER_LEFT)
         name = candidate.record.name
         connections = self._find_connections(candidate.record)
         limit_s = _MAX_IDLE_AT_MOST_ONCE_S if at_most_once else _MAX_IDLE_S
@@ -234,12 +237,10 @@
         )
         if connection is None:
             connection = await self._connect(candidate.record)
-            if not self._is_current(candidate.record):
+            problem = self._find_obstacle(candidate.record, caller)
+            if problem:
                 connection.close()
-                return AttemptResult(
-                    AttemptOutcome.WITHDRAWN,
-                    error='the target is leaving, paused or restarted',
-                )
+                return AttemptResult(AttemptOutcome.WITHDRAWN, error=problem)
         caller.record_send()
         sent_s = self._clock.now_s()
         try:
@@ -286,6 +287,14 @@
             self._close_pool(record.name)
         self._losses.discard()
 
+    def _find_obstacle(self, record: TargetRecord, caller: Caller) -> str:
+        """Return why a request is not sent any more, or an empty text."""
+        if caller.has_left():
+            return _CALLER_LEFT
+        if not self._is_current(record):
+            return 'the target is leaving, paused or restarted'
+        return ''
+
     def _is_current(self, record: TargetRecord) -> bool:
         """Return whether a target still accepts requests as it was chosen."""
         catalogue = self._state.catalogue
--- a/packages/entry/src/tamarackway_entry/http/__init__.py
+++ b/packages/entry/src/tamarackway_entry/http/__init__.py
@@ -13,3 +13,4 @@
 )
 from tamarackway_entry.upstream import NotSentError as NotSentError
 from tamarackway_entry.upstream import TimedOutError as TimedOutError
+from tamarackway_entry.upstream import WithdrawnError as WithdrawnError
--- a/packages/entry/src/tamarackway_entry/http/_pool.py
+++ b/packages/entry/src/tamarackway_entry/http/_pool.py
@@ -1,6 +1,7 @@
 """Pool of HTTP connections to one address."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final, NamedTuple
 
@@ -13,6 +14,7 @@
     InvalidResponseError,
     NotSentError,
     TimedOutError,
+    WithdrawnError,
 )
 
 _MAX_IDLE_S: Final = 2.0
@@ -37,6 +39,8 @@
     :param headers: headers by lower-case name.
     :param body: all bytes of the body.
     :param timeout_s: longest wait for the complete response in seconds.
+    :param is_withdrawn: returns whether it must not be sent any more; None if
+        it cannot be withdrawn.
     """
 
     method: str
@@ -44,6 +48,7 @@
     headers: dict[str, str]
     body: bytes
     timeout_s: float
+    is_withdrawn: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,13 +110,18 @@
         :param request: the request.
         :param fresh: use a new connection, which shows that the server is
             reachable.
+        :raises WithdrawnError: if the request was withdrawn before.
         :raises NotSentError: if no byte of the request was sent.
         :raises ConnectionLostError: if the connection ended too early.
         :raises TimedOutError: if no complete response arrived in time.
         :raises InvalidResponseError: if the response is not valid.
         """
-        connection = self._connect() if fresh else await self._acquire()
-        tracker = _SendTracker(may_be_sent=not fresh)
+        if request.is_withdrawn is not None and request.is_withdrawn():
+            raise WithdrawnError('the request is not wanted any more')
+        connection = None if fresh else await self._acquire()
+        tracker = _SendTracker(request, may_be_sent=connection is not None)
+        if connection is None:
+            connection = self._connect()
         keep = False
         try:
             with anyio.fail_after(request.timeout_s):
@@ -197,7 +207,7 @@
             network_backend=self._network,
         )
 
-    async def _acquire(self) -> httpcore.AsyncHTTPConnection:
+    async def _acquire(self) -> httpcore.AsyncHTTPConnection | None:
         now_s = anyio.current_time()
         while self._idle:
             idle = self._idle.pop()
@@ -205,7 +215,7 @@
             if not stale and not idle.connection.has_expired():
                 return idle.connection
             await _close(idle.connection)
-        return self._connect()
+        return None
 
     async def _release(
         self,
@@ -226,12 +236,16 @@
     Requests on reused connections always count as sent.
     """
 
-    def __init__(self, *, may_be_sent: bool) -> None:
+    def __init__(self, request: HttpRequest, *, may_be_sent: bool) -> None:
         self.may_be_sent = may_be_sent
+        self._is_withdrawn = request.is_withdrawn
 
     async def watch(self, event: str, _details: dict[str, Any]) -> None:
-        if event == _FIRST_BYTE_EVENT:
-            self.may_be_sent = True
+        if event != _FIRST_BYTE_EVENT:
+            return
+        if self._is_withdrawn is not None and self._is_withdrawn():
+            raise WithdrawnError('withdrawn while its connection was opened')
+        self.may_be_sent = True
 
 
 def _build_extensions(
--- a/packages/entry/src/tamarackway_entry/lookups/_runner.py
+++ b/packages/entry/src/tamarackway_entry/lookups/_runner.py
@@ -13,6 +13,7 @@
     HttpError,
     HttpResponse,
     NotSentError,
+    WithdrawnError,
 )
 from tamarackway_entry.kernel import Clock
 from tamarackway_entry.routes import CallerRequest, LossService, RouteService
@@ -88,6 +89,8 @@
         try:
             await self.dispatcher.send(trial.target, outgoing)
             verdict = Verdict.ANSWERED
+        except WithdrawnError:
+            verdict = Verdict.CANCELLED
         except ShedError:
             verdict = Verdict.SHED
         except HttpError:
@@ -145,6 +148,8 @@
         return max(delay_s * _STALL_FACTOR, _MIN_STALL_S)
 
     def _may_retry(self) -> bool:
+        if self._request.caller.has_left():
+            return False
         return len(self._tried) < _MAX_ATTEMPTS and not (
             self._runner.losses.is_quarantined(self._request)
         )
@@ -215,19 +220,8 @@
                     outgoing,
                     fresh=fresh,
                 )
-            except ShedError as error:
-                self._possible_runs -= 1
-                self._record_failure(Reason.TARGET_SHED, error)
-                return Verdict.SHED
-            except NotSentError as error:
-                self._possible_runs -= 1
-                self._record_failure(Reason.TARGET_UNREACHABLE, error)
-                return Verdict.LOST
             except HttpError as error:
-                self._record_failure(Reason.TARGET_LOST, error)
-                if isinstance(error, ConnectionLostError):
-                    self._runner.losses.report(request, choice.target)
-                return Verdict.LOST
+                return self._evaluate_error(choice, error)
         self._response = response
         self._request.decision.add_step(
             self._runner.clock.now_s(),
@@ -235,6 +229,23 @@
         )
         return Verdict.ANSWERED
 
+    def _evaluate_error(self, choice: Choice, error: HttpError) -> Verdict:
+        """Record why an attempt failed, and return how it ended."""
+        if isinstance(error, (ShedError, NotSentError)):
+            self._possible_runs -= 1
+        if isinstance(error, WithdrawnError):
+            return Verdict.CANCELLED
+        if isinstance(error, ShedError):
+            self._record_failure(Reason.TARGET_SHED, error)
+            return Verdict.SHED
+        if isinstance(error, NotSentError):
+            self._record_failure(Reason.TARGET_UNREACHABLE, error)
+            return Verdict.LOST
+        self._record_failure(Reason.TARGET_LOST, error)
+        if isinstance(error, ConnectionLostError):
+            self._runner.losses.report(self._request, choice.target)
+        return Verdict.LOST
+
     def _record_failure(self, reason: Reason, error: HttpError) -> None:
         self._failure = Refusal(reason, str(error), 1)
         now_s = self._runner.clock.now_s()
--- a/packages/entry/src/tamarackway_entry/routes/_request.py
+++ b/packages/entry/src/tamarackway_entry/routes/_request.py
@@ -6,6 +6,7 @@
 
 from tamarackway_entry.decisions import Decision
 from tamarackway_entry.http import HttpRequest
+from tamarackway_entry.serving import Caller
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     :param digest: SHA-256 of method, path and body.
     :param attempt: attempt number set by the caller, or None.
     :param decision: record of routing decisions, for explanations.
+    :param caller: its caller, which may leave.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     digest: str
     attempt: int | None
     decision: Decision
+    caller: Caller
 
     def to_target(self, remaining_s: float) -> HttpRequest:
         """Return the request to send to a target.
@@ -53,4 +56,7 @@
             headers,
             self.body,
             remaining_s,
+            # A request with a key goes on without its caller, which may come
+            # back with the key.
+            None if self.rule.once else self.caller.has_left,
         )
--- a/packages/entry/src/tamarackway_entry/serving/_caller.py
+++ b/packages/entry/src/tamarackway_entry/serving/_caller.py
@@ -46,8 +46,8 @@
 class Caller:
     """The caller of one request.
 
-    ``late_sends`` counts how often the request was sent on although the caller
-    had left.
+    Whatever sends its request on asks :meth:`has_left` right before, also after
+    it has waited for a connection. ``late_sends`` counts sends all the same.
 
     :param has_ended: returns whether its connection has ended, as the
         operating system knows it; None if only messages tell it.
@@ -59,9 +59,10 @@
         self._has_ended = has_ended
         self._left = anyio.Event()
 
-    @property
-    def is_known_to_have_left(self) -> bool:
-        """Whether the event loop has read the end of the connection."""
+    def has_left(self) -> bool:
+        """Return whether the caller has left, asking the operating system."""
+        if not self._left.is_set() and self._has_ended and self._has_ended():
+            self._left.set()
         return self._left.is_set()
 
     def mark_left(self) -> None:
@@ -70,7 +71,7 @@
 
     def record_send(self) -> None:
         """Record that the request is being sent to a target or to a peer."""
-        if self._left.is_set() or (self._has_ended and self._has_ended()):
+        if self.has_left():
             self.late_sends += 1
 
     async def wait_until_left(self) -> None:
--- a/packages/entry/src/tamarackway_entry/targets/_dispatch.py
+++ b/packages/entry/src/tamarackway_entry/targets/_dispatch.py
@@ -11,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     InvalidResponseError,
+    WithdrawnError,
 )
 from tamarackway_entry.targets._directory import TargetDirectory
 
@@ -63,6 +64,8 @@
         pool = self._find_pool(target.address)
         try:
             response = await pool.send(request, fresh=fresh)
+        except WithdrawnError:
+            raise
         except HttpError:
             await pool.close_idle()
             raise
--- a/packages/entry/src/tamarackway_entry/tests/test_caller.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_caller.py
@@ -74,6 +74,6 @@
 def test_caller_of_another_server_leaves_by_message_only() -> None:
     caller = find_caller({})
     assert isinstance(caller, Caller)
-    assert not caller.is_known_to_have_left
+    assert not caller.has_left()
     caller.mark_left()
-    assert caller.is_known_to_have_left
+    assert caller.has_left()
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -208,6 +208,30 @@
     assert not sender.names
 
 
+# Guards against retries for callers that left during the attempt before, and
+# against a retry budget that such callers use up.
+@pytest.mark.parametrize('attempt', [REFUSED, LOST, FAILED])
+def test_nothing_is_retried_once_the_caller_has_left(
+    attempt: AttemptResult,
+) -> None:
+    state = make_state()
+    sender = FakeSender([attempt, OK])
+    forwarder = Forwarder(
+        state,
+        sender,  # type: ignore[arg-type]
+        Lifecycle(ManualClock()),
+        ManualClock(),
+        lambda _request, _response, _context: None,
+    )
+    unused = state.retry_budget('s')
+    taken: list[float] = []
+    unused.take = lambda *_arguments: taken.append(1) or True  # type: ignore
+    caller = Caller(lambda: bool(sender.names))
+    anyio.run(forwarder.serve, make_request(), caller)
+    assert len(sender.names) == 1
+    assert not taken
+
+
 @pytest.mark.parametrize(
     ('change', 'status'),
     [
--- a/packages/entry/src/tamarackway_entry/tests/test_pool.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_pool.py
@@ -1,5 +1,6 @@
 """Tests of connections to faulty servers."""
 
+import contextlib
 import functools
 from collections.abc import Awaitable, Callable
 
@@ -18,6 +19,7 @@
     InvalidResponseError,
     NotSentError,
     TimedOutError,
+    WithdrawnError,
 )
 
 pytestmark = pytest.mark.anyio
@@ -123,3 +125,34 @@
     request = HttpRequest('GET', '/', {}, b'', 1)
     with pytest.raises(NotSentError):
         await pool.send(request, fresh=True)
+
+
+# Guards against requests on the interface of our own that reach a target after
+# their callers have left, at once or while the connection was opened.
+@pytest.mark.parametrize('fresh', [True, False])
+@pytest.mark.parametrize('asks_before', [0, 1])
+async def test_withdrawn_request_is_not_sent(
+    asks_before: int, *, fresh: bool
+) -> None:
+    received: list[bytes] = []
+    asked: list[bool] = []
+
+    async def handle(stream: SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                received.append(await stream.receive())
+
+    def is_withdrawn() -> bool:
+        asked.append(True)
+        return len(asked) > asks_before
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    pool = ConnectionPool(Address(HOST, _find_port(listener)), HOST, MAX_BYTES)
+    request = HttpRequest('GET', '/', {}, b'', TIMEOUT_S, is_withdrawn)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, handle)
+        with pytest.raises(WithdrawnError):
+            await pool.send(request, fresh=fresh)
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert not received
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -550,3 +550,33 @@
         environment.send()
     limiter = environment.state.selector.rate_limiter
     assert limiter.total_per_s('t', 1) == known_per_s
+
+
+# Guards against requests that reach a target after their callers have left:
+# while they waited for the connection, or before they were sent on a kept one.
+@pytest.mark.parametrize('is_kept', [False, True])
+@pytest.mark.parametrize('leaves_while_connecting', [False, True])
+def test_request_is_not_sent_once_its_caller_has_left(
+    environment: Environment, *, is_kept: bool, leaves_while_connecting: bool
+) -> None:
+    ended: list[bool] = []
+    if is_kept:
+        assert environment.send().outcome == AttemptOutcome.ANSWERED
+    sent = list(environment.connection.sent) if is_kept else []
+    environment.caller = Caller(lambda: bool(ended))
+    if leaves_while_connecting:
+        environment.on_connect = lambda: ended.append(True)
+    else:
+        ended.append(True)
+    if is_kept and leaves_while_connecting:
+        environment.clock.moment_s += 60  # the kept connection is too old
+    attempt = environment.send()
+    assert attempt.outcome == AttemptOutcome.WITHDRAWN
+    assert not attempt.may_have_run
+    assert not environment.caller.late_sends
+    if leaves_while_connecting:
+        assert not environment.connection.sent
+        assert not environment.connection.is_open
+    elif is_kept:
+        assert environment.connection.sent == sent
+        assert environment.connection.is_open
--- a/packages/entry/src/tamarackway_entry/upstream/__init__.py
+++ b/packages/entry/src/tamarackway_entry/upstream/__init__.py
@@ -14,6 +14,7 @@
     ResponseTooLargeError as ResponseTooLargeError,
 )
 from tamarackway_entry.upstream._errors import TimedOutError as TimedOutError
+from tamarackway_entry.upstream._errors import WithdrawnError as WithdrawnError
 from tamarackway_entry.upstream._pool import (
     IdleConnectionPool as IdleConnectionPool,
 )
--- a/packages/entry/src/tamarackway_entry/upstream/_errors.py
+++ b/packages/entry/src/tamarackway_entry/upstream/_errors.py
@@ -9,6 +9,10 @@
     """No byte of the request was sent; check that the server is listening."""
 
 
+class WithdrawnError(NotSentError):
+    """The request was withdrawn before any byte was sent."""
+
+
 class ConnectionLostError(HttpError):
     """The connection ended before the response; the request may have run."""
 
