Admit only what an instance can start, and refuse the rest at once

What callers saw: past its capacity an instance served nearly nobody, 19 to 34 requests a second at 1.5 times the load at which it serves 760 to 800, since it worked on requests in the order of their arrival until their callers had left. The class: a queue without a bound in time, in the event loop and the sockets.

Requests whose head was read now wait in a queue of the instance. Eight are started in each turn of the event loop, oldest first, so that turns stay short; those whose callers have left are dropped. A queue that has not been empty for 0.3 s is a standing backlog and no single stall: it is cut to the newest 32, and what does not fit is refused with 503 and Retry-After. New connections beyond what a turn can start are refused without parser and transport, if their request has come whole; detours and bodies without a length are always read. Refusals do not depend on the priority of a route: to read it costs as much as to serve. Peers and look-ups are not told: the load is mostly the same everywhere, and a shorter list would send the callers to those that are next to fall behind. The deadline of a request counts from when it was read, not from when it started.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 SEED ?= 1
 SEEDS ?= 10
+BEFORE ?= HEAD~1
 TOOLS := pytest pytest-bdd hypothesis import-linter mypy ruff flake8 wemake-python-styleguide
 
-.PHONY: install demo test lint unit fuzz soak bench bench-quick slopes format clean
+.PHONY: install demo test lint unit fuzz soak goodput bench bench-quick slopes format clean
 
 install: $(VENV)/.installed
 
@@ -36,6 +37,9 @@
 soak: install
 	$(BIN)/python -m tamarackway_platform.tests.soak --first-seed $(SEED) --seeds $(SEEDS)
 
+goodput: install
+	$(BIN)/python -m tamarackway_platform.tests.goodput $(BEFORE)
+
 bench: install
 	$(BIN)/python -m tamarackway_bench figures
 
--- a/packages/core/src/tamarackway_core/limits/__init__.py
+++ b/packages/core/src/tamarackway_core/limits/__init__.py
@@ -1,5 +1,6 @@
-"""Rate limits that all entry instances share: caps, and limits of targets."""
+"""Limits: caps, limits of targets, and of what one instance takes on."""
 
+from tamarackway_core.limits._admission import AdmissionQueue as AdmissionQueue
 from tamarackway_core.limits._bucket import TokenBucket as TokenBucket
 from tamarackway_core.limits._leased_share import LeasedShare as LeasedShare
 from tamarackway_core.limits._leases import LEASE_DURATION_S as LEASE_DURATION_S
--- a/packages/entry/src/tamarackway_entry/forwarding/_record.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_record.py
@@ -21,6 +21,7 @@
 _NO_ROUTE: Final = '-'
 _OTHER_ROUTE: Final = 'other'
 _MAX_ROUTES: Final = 64  # each route label adds a histogram to the metrics
+OVERLOAD: Final = 'the instance is behind'
 _log = component_logger('request')
 
 
@@ -47,6 +48,7 @@
         self._clock = clock
         self._line_limiter = TokenBucket(_MAX_LINES_PER_S, clock.now_s())
         self._routes: set[str] = set()
+        self._overloads = metrics.refusals.labels(_NO_SERVICE, OVERLOAD)
 
     def record(
         self,
@@ -98,6 +100,36 @@
         else:
             self._metrics.load.suppressed_lines.inc()
 
+    def record_overload(self, request_id: str) -> None:
+        """Record a request that was refused unread, for lack of time.
+
+        :param request_id: identifier of the request.
+        """
+        self._overloads.inc()
+        if self._line_limiter.take(self._clock.now_s()):
+            _log.warning(
+                'Request refused.',
+                extra={'request_id': request_id, 'reason': OVERLOAD},
+            )
+        else:
+            self._metrics.load.suppressed_lines.inc()
+
+    def record_departure(self) -> None:
+        """Record a request whose caller left before it was started."""
+        self._metrics.load.departures.inc()
+
+    def record_backlog(self, waiting: int, *, is_behind: bool) -> None:
+        """Record that a standing backlog of requests has built up or is gone.
+
+        :param waiting: requests that wait to be started.
+        :param is_behind: whether there is a standing backlog.
+        """
+        self._metrics.load.is_behind.set(is_behind)
+        _log.warning(
+            'Standing backlog of requests.',
+            extra={'is_behind': is_behind, 'waiting': waiting},
+        )
+
     def _label_route(self, context: RequestContext | None) -> str:
         """Return the metric label of a route.
 
--- a/packages/entry/src/tamarackway_entry/serving/_caller.py
+++ b/packages/entry/src/tamarackway_entry/serving/_caller.py
@@ -8,7 +8,9 @@
 
 import anyio
 
-CALLER_EXTENSION: Final = 'tamarackway.caller'  # of the ASGI scope
+# Extensions of the ASGI scope.
+CALLER_EXTENSION: Final = 'tamarackway.caller'
+READ_EXTENSION: Final = 'tamarackway.read_s'
 _END_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -79,6 +81,16 @@
         await self._left.wait()
 
 
+def find_read_s(scope: Mapping[str, Any], now_s: float) -> float:
+    """Return when the server read a request, before it waited to be started.
+
+    :param scope: ASGI scope of the request.
+    :param now_s: monotonic time, returned for the scope of another server.
+    """
+    read_s: float = scope.get('extensions', {}).get(READ_EXTENSION, now_s)
+    return read_s
+
+
 def find_caller(scope: Mapping[str, Any]) -> Caller:
     """Return the caller of a request.
 
--- a/packages/entry/src/tamarackway_entry/serving/_protocol.py
+++ b/packages/entry/src/tamarackway_entry/serving/_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 from uvicorn.protocols.http.httptools_impl import (
@@ -10,7 +11,12 @@
 )
 
 from tamarackway_entry.memory import PROCESS_BUDGET
-from tamarackway_entry.serving._caller import CALLER_EXTENSION, ConnectionEnd
+from tamarackway_entry.serving._admission import AdmissionGate, PendingRequest
+from tamarackway_entry.serving._caller import (
+    CALLER_EXTENSION,
+    READ_EXTENSION,
+    ConnectionEnd,
+)
 from tamarackway_entry.serving._parser import RequestParser
 
 # Of everything around bodies: heads, chunk sizes and trailers. Counted from
@@ -65,6 +71,7 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Start without a request."""
         super().__init__(*arguments, **options)
+        self.gate: AdmissionGate | None = None
         self.parser = RequestParser(self)  # type: ignore[assignment]
         self._running: RequestResponseCycle | None = None
         self._in_head = False
@@ -126,7 +133,10 @@
         """Start a request; called by the parser."""
         self._in_head = True
         super().on_message_begin()
-        extensions: dict[str, Any] = {CALLER_EXTENSION: self._end.has_come}
+        extensions: dict[str, Any] = {
+            CALLER_EXTENSION: self._end.has_come,
+            READ_EXTENSION: self.loop.time(),
+        }
         self.scope['extensions'] = extensions
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -177,7 +187,13 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._running = cycle
-        super()._start_asgi_task(cycle, app)
+        start = partial(super()._start_asgi_task, cycle)
+        if self.gate is None:
+            start(app)
+        else:
+            self.gate.submit(
+                PendingRequest(self._end, start, app, self.transport.abort)
+            )
 
     def _time_client(self) -> None:
         """Bound the time of a head, or until the next request.
--- a/packages/entry/src/tamarackway_entry/telemetry/_load.py
+++ b/packages/entry/src/tamarackway_entry/telemetry/_load.py
@@ -21,6 +21,16 @@
             ['service'],
             registry=registry,
         )
+        self.departures = prom.Counter(
+            'tamarackway_departures',
+            'Requests that were not started, since their callers had left.',
+            registry=registry,
+        )
+        self.is_behind = prom.Gauge(
+            'tamarackway_is_behind',
+            'Whether the instance has a standing backlog of requests.',
+            registry=registry,
+        )
         self.loop_lag_s = prom.Histogram(
             'tamarackway_loop_lag_seconds',
             'How late a timer of the event loop fired.',
