Send detours only to peers that say that they take them

What callers saw while instances of two builds ran side by side: an instance of this build that is cut off from all targets sent its requests to peers of an earlier build, too. These ran them as requests of callers and answered without the header of a detour; the answer was dropped, and callers got 502 although their requests had run. The cause: a peer that says nothing was taken for one that knows detours.

The member record now says so, and a peer that does not is no way round.

--- a/packages/core/src/tamarackway_core/wire/_fleet.py
+++ b/packages/core/src/tamarackway_core/wire/_fleet.py
@@ -23,6 +23,8 @@
     :param ready: whether it may be advertised to callers.
     :param leaving: whether it is shutting down.
     :param isolated: whether it reaches no target; its peers serve its requests.
+    :param takes_detours: whether it serves requests of its peers. An earlier
+        release does not say so, and would take a detour for a caller's request.
     """
 
     name: str
@@ -34,6 +36,7 @@
     ready: bool = False
     leaving: bool = False
     isolated: bool = False
+    takes_detours: bool = False
 
     def __post_init__(self) -> None:
         """Check the addresses, which come from other processes.
--- a/packages/entry/src/tamarackway_entry/forwarding/_detours.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_detours.py
@@ -165,7 +165,9 @@
             self._in_flight[peer.name] -= 1
 
     def _is_usable(self, peer: FleetMember, context: RequestContext) -> bool:
-        if peer.leaving or not peer.ready or peer.name in context.tried_peers:
+        if peer.leaving or not peer.ready or not peer.takes_detours:
+            return False
+        if peer.name in context.tried_peers:
             return False
         homes = context.query.home_regions
         if homes and peer.region not in homes:
