Let connections without a request take no place for long

What callers would see: an instance that was behind refuses all new connections for good. It admits eight new connections in a turn of the event loop and counts anew when it next starts requests; if those eight send nothing, it starts none, and each further refusal prolonged the state in which it refuses. Found by reading the change; the new test failed before (the second turn admitted none). The gate now counts anew in each turn in which it has admitted a connection.

--- a/packages/entry/src/tamarackway_entry/serving/_admission.py
+++ b/packages/entry/src/tamarackway_entry/serving/_admission.py
@@ -106,6 +106,7 @@
         if not self._queue.is_behind(self._clock.now_s()):
             return True
         self._connections += 1
+        self._schedule()  # the next turn admits others
         return self._connections <= _MAX_STARTED
 
     def refuse_unread(self, opened: socket.socket) -> bool:
--- a/packages/entry/src/tamarackway_entry/tests/test_admission.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_admission.py
@@ -156,6 +156,26 @@
     assert requests.started == [*range(8), *range(68, 100), 101]
 
 
+# Guards against an instance that refuses all new connections for good: those
+# that it admitted last sent nothing, and each refusal prolonged the backlog.
+def test_connections_without_a_request_take_no_place_for_long() -> None:
+    requests = Requests()
+
+    async def run() -> list[bool]:
+        for number in range(100):
+            requests.submit(number)
+        requests.clock.moment_s += 1
+        for _ in range(20):
+            await asyncio.sleep(0)
+        admitted = []
+        for _ in range(3):
+            admitted += [requests.gate.admits_connection() for _ in range(9)]
+            await asyncio.sleep(0)
+        return admitted
+
+    assert asyncio.run(run()) == [*[True] * 8, False] * 3
+
+
 async def exchange(requests: list[bytes], port: int) -> list[bytes]:
     """Send each request on a new connection; return the first lines."""
 
