Tell when a request was read by the clock of the daemon

What callers would see on a machine that has been suspended: each request counts as overdue and is refused. The time of reading was taken from the event loop, whose clock stands still during a suspension, and compared with the clock of the daemon, which does not. Found by reading the change. Only the time that has passed since the reading is taken from the event loop now. The new test gives both clocks different origins and fails with the time taken as it was.

--- a/packages/entry/src/tamarackway_entry/serving/_caller.py
+++ b/packages/entry/src/tamarackway_entry/serving/_caller.py
@@ -10,7 +10,7 @@
 
 # Extensions of the ASGI scope.
 CALLER_EXTENSION: Final = 'tamarackway.caller'
-READ_EXTENSION: Final = 'tamarackway.read_s'
+READ_EXTENSION: Final = 'tamarackway.read_s'  # by the clock of the loop
 _END_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -84,11 +84,15 @@
 def find_read_s(scope: Mapping[str, Any], now_s: float) -> float:
     """Return when the server read a request, before it waited to be started.
 
+    The clock of the event loop may stand still while the machine is suspended,
+    so only the time that has passed since then is taken from it.
+
     :param scope: ASGI scope of the request.
     :param now_s: monotonic time, returned for the scope of another server.
     """
-    read_s: float = scope.get('extensions', {}).get(READ_EXTENSION, now_s)
-    return read_s
+    loop_s = asyncio.get_running_loop().time()
+    read_s: float = scope.get('extensions', {}).get(READ_EXTENSION, loop_s)
+    return now_s - (loop_s - read_s)
 
 
 def find_caller(scope: Mapping[str, Any]) -> Caller:
--- a/packages/entry/src/tamarackway_entry/tests/test_caller.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_caller.py
@@ -7,8 +7,12 @@
 
 import pytest
 
-from tamarackway_entry.serving import Caller, find_caller
-from tamarackway_entry.serving._caller import CALLER_EXTENSION, ConnectionEnd
+from tamarackway_entry.serving import Caller, find_caller, find_read_s
+from tamarackway_entry.serving._caller import (
+    CALLER_EXTENSION,
+    READ_EXTENSION,
+    ConnectionEnd,
+)
 
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -77,3 +81,20 @@
     assert not caller.has_left()
     caller.mark_left()
     assert caller.has_left()
+
+
+# Guards against requests that count as long overdue on a machine that has been
+# suspended, where the clocks of daemon and event loop differ.
+@pytest.mark.parametrize(('waited_s', 'read_s'), [(0.25, 999.75), (None, 1000)])
+def test_time_of_reading_is_told_by_the_clock_of_the_daemon(
+    waited_s: float | None, read_s: float
+) -> None:
+    async def find() -> float:
+        await asyncio.sleep(0)
+        extensions = {}
+        if waited_s is not None:
+            loop = asyncio.get_running_loop()
+            extensions[READ_EXTENSION] = loop.time() - waited_s
+        return find_read_s({'extensions': extensions}, 1000)
+
+    assert asyncio.run(find()) == pytest.approx(read_s, abs=0.1)
