--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,157 +9,41 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common2'))
 
-from kit import (
-    TROUBLE,
-    Backend,
-    Machine,
-    Store,
-    config,
-    main,
-    request,
-    route,
-)
+from kit import TROUBLE, Machine, Store, main
+from poison import POISON, STABLE_WINDOW_S, Fleet, Service, judge, make_config
 
-SERVICE = 'statusdesk'
 ZONES = ('boh-a', 'mor-a', 'sil-a', 'boh-b', 'mor-b', 'sil-b')
 BACKENDS = 8
 GRACE_S = 6.0
-STABLE_WINDOW_S = 3.0
-DOWN_S = 2.0  # until a crashed backend is back
-LAPSE_S = 4.5  # three heartbeats
 BEFORE_STOP_S = 6.0  # between a look at one machine and the stop of the next
-MAX_RETRIES = 3
-THIRD_CRASH = 3
-POISON = '/net/4711'
-GAP_S = 0.05
-WORK_S = 0.1
 
 
-class Service:
-    """Backends that crash when they begin to run the poisonous request."""
+async def send_poison(fleet, machine):
+    """Send the poisonous request to a machine, twice in a row."""
+    for _ in range(2):
+        await fleet.send(machine, 'GET', POISON)
+        await asyncio.sleep(0.3)
 
-    def __init__(self, store, record):
-        """Start without backends."""
-        self.store = store
-        self.record = record
-        self.backends = []
-        self.reached = []  # time and request of each run of the poison
-        self.count = 0
-        self.tasks = set()
 
-    async def add(self, cold='0ms'):
-        """Start a backend."""
-        self.count += 1
-        zone = ZONES[self.count % len(ZONES)]
-        backend = CrashingBackend(self, f'i-{self.count}', zone)
-        await backend.open()
-        backend.register(cold=cold)
-        self.backends.append(backend)
-
-    def crash(self, backend, request_id):
-        """End a backend; it comes back with a new id."""
-        self.reached.append((time.monotonic(), request_id))
-        self.record.add(f'{backend.name} crashes on {request_id}')
-        backend.close()
-        task = asyncio.get_running_loop().create_task(self.replace(backend))
-        self.tasks.add(task)
-
-    async def replace(self, backend):
-        """Start another backend, and let the entry of the old one lapse."""
-        await asyncio.sleep(DOWN_S)
-        await self.add('3000ms')
-        await asyncio.sleep(LAPSE_S - DOWN_S)
-        self.store.drop('servers', backend.name)
-
-
-class CrashingBackend(Backend):
-    """Backend of the service."""
-
-    def __init__(self, service, name, zone):
-        """Do not listen yet."""
-        super().__init__(
-            service.store, service.record, name, SERVICE, '127.0.0.1', zone
-        )
-        self.owner = service
-        self.work_s = WORK_S
-
-    async def handle(self, line, headers, body, writer):
-        """Run one request, or crash."""
-        if f' {POISON} ' in line and headers['expect-instance'] == self.name:
-            self.owner.crash(self, headers['request-id'])
-            raise EOFError
-        await super().handle(line, headers, body, writer)
-
-
-class Fleet:
-    """Machines, and clients that use all of them."""
-
-    def __init__(self, record, machines):
-        """Store the machines."""
-        self.record = record
-        self.machines = machines
-        self.started = {}  # machine's name: time of its start
-        self.sent = {}  # request: machine's name and time
-        self.lost = []
-        self.count = 0
-
-    async def send(self, machine, method, path):
-        """Send a request to a machine."""
-        self.count += 1
-        name = f'q-{self.count}'
-        self.sent[name] = (machine.name, time.monotonic())
-        headers = [('Request-Id', name), ('Deadline-Ms', '2000')]
-        try:
-            status, _, _ = await request(
-                f'{machine.ip}:8548', method, path, headers, timeout_s=2
-            )
-        except (OSError, EOFError) as error:
-            status = repr(error)
-        if path == POISON:
-            self.record.add(f'{name}, the poison, at {machine.name}: {status}')
-        elif status in {502, 504}:
-            self.lost.append(name)
-            self.record.add(f'{name}, {path}, at {machine.name}: {status}')
-
-    async def send_usual(self):
-        """Send harmless requests until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                machine = self.machines[self.count % len(self.machines)]
-                group.create_task(
-                    self.send(machine, 'POST', f'/reports/{self.count}')
-                )
-                await asyncio.sleep(GAP_S)
-
-    async def send_poison(self, machine):
-        """Send the poisonous request to a machine, some times in a row."""
-        for _ in range(2):
-            await self.send(machine, 'GET', POISON)
-            await asyncio.sleep(0.3)
-
-    async def restart(self, machine):
-        """Stop a machine with SIGTERM and start it again."""
-        self.record.add(f'SIGTERM for {machine.name}')
-        machine.signal(signal.SIGTERM)
-        await asyncio.wait_for(machine.process.wait(), GRACE_S + 1)
-        self.record.add(f'{machine.name} starts again')
-        self.started[machine.name] = time.monotonic()
-        await machine.start()
-        await machine.wait_ready()
+async def restart(record, fleet, machine):
+    """Stop a machine with SIGTERM and start it again."""
+    record.add(f'SIGTERM for {machine.name}')
+    machine.signal(signal.SIGTERM)
+    await asyncio.wait_for(machine.process.wait(), GRACE_S + 1)
+    record.add(f'{machine.name} starts again')
+    fleet.started[machine.name] = time.monotonic()
+    await machine.start()
+    await machine.wait_ready()
 
 
 async def case(record, scratch, machines):
     """Return what broke the rule, or an empty text."""
     store = Store('127.0.0.1')
     await store.open()
-    service = Service(store, record)
+    service = Service(store, record, ZONES)
     for _ in range(BACKENDS):
         await service.add()
-    routes = [
-        route('net', '/net/', SERVICE, timeout='1000ms'),
-        route('reports', '/reports/', SERVICE, kind='unsafe'),
-    ]
-    store.put('op', 'config', config(5, routes, [SERVICE]))
+    store.put('op', 'config', make_config())
     fleet = Fleet(record, machines)
     for number, zone in enumerate(ZONES, 1):
         machine = Machine(
@@ -172,40 +56,18 @@
         await machine.wait_ready()
     usual = asyncio.create_task(fleet.send_usual())
     await asyncio.sleep(STABLE_WINDOW_S)
-    await fleet.send_poison(machines[-1])
+    await send_poison(fleet, machines[-1])
     for machine in machines:
         await asyncio.sleep(BEFORE_STOP_S)
         if TROUBLE:
-            await fleet.restart(machine)
+            await restart(record, fleet, machine)
         since = time.monotonic() - fleet.started[machine.name]
         await asyncio.sleep(max(STABLE_WINDOW_S + 0.3 - since, 0))
-        await fleet.send_poison(machine)
+        await send_poison(fleet, machine)
     usual.cancel()
     await asyncio.gather(usual, return_exceptions=True)
     return judge(record, service, fleet)
 
 
-def judge(record, service, fleet):
-    """Return what broke the rule, or an empty text."""
-    record.add(f'the poison has crashed {len(service.reached)} backends')
-    if len(service.reached) < THIRD_CRASH:
-        return ''
-    counts_from = service.reached[THIRD_CRASH - 1][0] + STABLE_WINDOW_S
-    retries = set()
-    for _, name in service.reached:
-        machine, sent = fleet.sent[name]
-        in_touch = sent - fleet.started[machine] > STABLE_WINDOW_S
-        if sent > counts_from and in_touch:
-            retries.add(name)
-    record.add(f'{len(retries)} retries reached backends after the third crash')
-    record.add(f'{len(fleet.lost)} harmless requests were lost beside it')
-    if len(retries) > MAX_RETRIES:
-        return (
-            f'{len(retries)} retries reached backends; '
-            f'{len(service.reached)} backends crashed'
-        )
-    return ''
-
-
 if __name__ == '__main__':
     main(FOLDER, case)
--- /dev/null
+++ b/review/9/case.py
@@ -0,0 +1,54 @@
+"""A request crashes all backends of a small service, and comes again."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / 'common2'))
+
+from kit import TROUBLE, Machine, Store, main
+from poison import POISON, STABLE_WINDOW_S, Fleet, Service, judge, make_config
+
+ZONES = ('boh-a', 'mor-a', 'boh-b')
+BACKENDS = 4
+RETRIES = 1  # of the client, as in the site file
+TURNS = 6
+PAUSE_S = 6.0
+_OK = 200
+
+
+async def case(record, scratch, machines):
+    """Return what broke the rule, or an empty text."""
+    store = Store('127.0.0.1')
+    await store.open()
+    service = Service(store, record, ZONES, crashes=TROUBLE)
+    for _ in range(BACKENDS):
+        await service.add()
+    store.put('op', 'config', make_config())
+    fleet = Fleet(record, machines)
+    for number, zone in enumerate(ZONES, 1):
+        machine = Machine(
+            f'front-{number}', f'127.0.38.{number}', store, zone, scratch
+        )
+        machines.append(machine)
+        fleet.started[machine.name] = time.monotonic()
+        await machine.start()
+    for machine in machines:
+        await machine.wait_ready()
+    usual = asyncio.create_task(fleet.send_usual())
+    await asyncio.sleep(STABLE_WINDOW_S)
+    for turn in range(TURNS):
+        for retry in range(RETRIES + 1):
+            machine = machines[(turn + retry) % len(machines)]
+            if await fleet.send(machine, 'GET', POISON) == _OK:
+                break
+        await asyncio.sleep(PAUSE_S)
+    usual.cancel()
+    await asyncio.gather(usual, return_exceptions=True)
+    return judge(record, service, fleet)
+
+
+if __name__ == '__main__':
+    main(FOLDER, case)
