--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,11 @@
-"""Unsafe requests whose path has an encoded slash, while answers are lost."""
+"""A machine that started while the store is down gets SIGTERM."""
 
 import asyncio
+import contextlib
 import random
+import signal
 import sys
-from collections import Counter
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,100 +15,157 @@
     TROUBLE,
     Backend,
     Machine,
+    SetupError,
     Store,
     config,
+    encode_request,
+    find_ip,
+    look_up,
     main,
-    request,
+    read_answer,
     route,
 )
 
-SERVICE = 'closurehub'
-LOST_BACKENDS = 2  # of 4: a share of 0.5
-LOST_SHARE = 0.4  # of the requests that these run
-LOST_FROM_S = 2.0
-LOST_FOR_S = 4.0
-REQUESTS = 160
-GAP_S = 0.05
-PATH = '/orders/status%2F{}'
+SERVICE = 'defectlog'
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+STABLE_WINDOW_S = 3.0
+ROUTE_TIMEOUT_S = 1.2
+DEADLINE_S = 2.5
+STORE_DOWN_S = 8.0  # the longest outage of the store in the site file
+GAP_S = 0.04
+RUNNING_S = 0.1  # between the start of the machine and the second SIGTERM
+START_S = 2.1  # longest time until it answers look-ups
 
 
-class LosingBackend(Backend):
-    """Runs requests, and may close the connection instead of answering."""
+class Client:
+    """Sends requests on new connections to machines that a look-up names."""
 
-    is_losing = False
-    chance = random.Random(36)
+    def __init__(self, record, directories):
+        """Store the directories, the nearest first."""
+        self.record = record
+        self.directories = directories
+        self.count = 0
+        self.lost = []
+        self.stopped = {}  # machine's ip: time of its last SIGTERM
 
-    async def run(self, request_id, line, headers, body, writer):
-        """Work and answer, or lose the answer."""
-        await asyncio.sleep(self.work_s)
-        if self.is_losing and self.chance.random() < LOST_SHARE:
-            self.record.add(f'{self.name} loses the answer to {request_id}')
-            writer.close()
-            raise EOFError
-        self.answer(request_id, writer)
+    async def find(self):
+        """Return the addresses that the nearest directory names."""
+        for directory in self.directories:
+            try:
+                addresses = await look_up(directory, 'cz-bohemia', 'boh-a')
+            except (OSError, EOFError, ValueError):
+                continue
+            if addresses:
+                return addresses
+        return []
+
+    async def send(self, number):
+        """Send one request and record how it ended."""
+        addresses = await self.find()
+        if not addresses:
+            return
+        address = random.choice(addresses)
+        ip, _, port = address.rpartition(':')
+        name = f'report-{number}'
+        headers = [('Request-Id', name), ('Deadline-Ms', '2500')]
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(ip, int(port))
+        except OSError as error:
+            self.record.add(f'{name} to {ip}: no connection, {error!r}')
+            return
+        writer.write(encode_request('POST', '/reports/', headers, b'torn net'))
+        sent = time.monotonic()
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                status, _, _ = await read_answer(reader)
+        except TimeoutError:
+            status = 'nothing until the deadline'
+        except EOFError:
+            # The end of the stream, and no reset: all bytes had been read.
+            status = 'the end of the connection'
+            self.judge(name, ip, sent)
+        except OSError as error:
+            status = repr(error)
+        took = time.monotonic() - sent
+        self.record.add(f'{name} to {ip}: {status} after {took:.3f} s')
+        writer.close()
+
+    def judge(self, name, ip, sent):
+        """Count a request that was read and ended without an answer."""
+        now = time.monotonic()
+        stopped = self.stopped.get(ip)
+        if stopped is None or not stopped <= now <= stopped + GRACE_S + 1:
+            return
+        if LOSS_SLACK_S < now - sent < ROUTE_TIMEOUT_S:
+            self.lost.append(name)
+
+    async def run(self):
+        """Send requests until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self.count += 1
+                group.create_task(self.send(self.count))
+                await asyncio.sleep(GAP_S)
+
+
+async def wait_for_directory(machine):
+    """Wait until a machine answers look-ups."""
+    end = time.monotonic() + START_S
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError, EOFError):
+            if await look_up(f'{machine.ip}:8546', 'cz-bohemia', 'boh-a'):
+                return
+        await asyncio.sleep(0.05)
+    raise SetupError('the machine did not start in time')
 
 
 async def case(record, scratch, machines):
     """Return what broke the rule, or an empty text."""
     store = Store('127.0.0.1')
     await store.open()
-    backends = []
-    for number, zone in enumerate(('boh-a', 'boh-b', 'boh-a', 'boh-b')):
-        backend = LosingBackend(
-            store, record, f'i-{number}', SERVICE, '127.0.0.1', zone
-        )
+    for number in range(3):
+        backend = Backend(store, record, f'i-{number}', SERVICE, '127.0.0.1')
         await backend.open()
         backend.register()
-        backends.append(backend)
-    routes = [
-        route('orders', '/orders/', SERVICE, kind='unsafe'),
-        route('status', '/orders/status/', SERVICE, kind='safe'),
-    ]
+    routes = [route('reports', '/reports/', SERVICE, kind='unsafe')]
     store.put('op', 'config', config(5, routes, [SERVICE]))
     for number, zone in ((1, 'boh-a'), (2, 'boh-b')):
-        machine = Machine(
-            f'front-{number}', f'127.0.36.{number}', store, zone, scratch
-        )
+        machine = Machine(f'front-{number}', find_ip(), store, zone, scratch)
         machines.append(machine)
         await machine.start()
     for machine in machines:
         await machine.wait_ready()
+    await asyncio.sleep(STABLE_WINDOW_S)
+    first = machines[0]
+    client = Client(record, [f'{machine.ip}:8546' for machine in machines])
+    clients = asyncio.create_task(client.run())
 
-    async def send(number):
-        request_id = f'order-{number}'
-        machine = machines[number % len(machines)]
-        headers = [('Request-Id', request_id), ('Deadline-Ms', '1200')]
-        record.add(f'client sends {request_id}: PUT {PATH.format(number)}')
-        try:
-            status, _, _ = await request(
-                f'{machine.ip}:8548',
-                'PUT',
-                PATH.format(number),
-                headers,
-                b'close the line',
-            )
-        except (OSError, EOFError) as error:
-            status = type(error).__name__
-        record.add(f'client gets {status} for {request_id}')
-
-    loop = asyncio.get_running_loop()
+    def stop():
+        record.add(f'SIGTERM for {first.name}')
+        client.stopped[first.ip] = time.monotonic()
+        first.signal(signal.SIGTERM)
+
+    stop()
+    await asyncio.wait_for(first.process.wait(), GRACE_S + 1)
     if TROUBLE:
-        for backend in backends[:LOST_BACKENDS]:
-            loop.call_later(LOST_FROM_S, setattr, backend, 'is_losing', True)
-            loop.call_later(
-                LOST_FROM_S + LOST_FOR_S, setattr, backend, 'is_losing', False
-            )
-    async with asyncio.TaskGroup() as group:
-        for number in range(REQUESTS):
-            group.create_task(send(number))
-            await asyncio.sleep(GAP_S)
-    runs = Counter(
-        request_id for backend in backends for request_id, _, _ in backend.runs
-    )
-    twice = sorted(name for name, count in runs.items() if count > 1)
-    record.add(f'{len(runs)} requests ran, {len(twice)} of them twice')
-    if twice:
-        return f'{len(twice)} unsafe requests ran twice: {", ".join(twice)}'
+        record.add('the store answers no more')
+        store.is_silent = True
+        asyncio.get_running_loop().call_later(STORE_DOWN_S, store.restore)
+    record.add(f'{first.name} starts again')
+    await first.start()
+    await wait_for_directory(first)
+    await asyncio.sleep(RUNNING_S)
+    stop()
+    await asyncio.wait_for(first.process.wait(), GRACE_S + 1)
+    await asyncio.sleep(1)
+    record.add(f'{first.name} has ended')
+    clients.cancel()
+    await asyncio.gather(clients, return_exceptions=True)
+    if client.lost:
+        names = ', '.join(client.lost)
+        return f'{len(client.lost)} requests were read and cut: {names}'
     return ''
 
 
--- a/review/common2/kit.py
+++ b/review/common2/kit.py
@@ -10,7 +10,9 @@
 import contextlib
 import json
 import os
+import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -36,6 +38,8 @@
     'sil-b': 'cz-silesia',
 }
 HOST = 'jepu9.example'
+# The same on all machines, as on the platform; each has an address of its own.
+PORTS = (7540, 8542, 8546, 8548, 9464)
 
 
 class Record:
@@ -324,6 +328,19 @@
         )
 
 
+def find_ip():
+    """Return a loopback address on which the ports of a machine are free."""
+    while True:
+        ip = '.'.join(('127', *(str(random.randint(1, 254)) for _ in '123')))
+        try:
+            for port in PORTS:
+                with socket.socket() as probe:
+                    probe.bind((ip, port))
+        except OSError:
+            continue
+        return ip
+
+
 class Machine:
     """One daemon as a separate process."""
 
