Refuse requests at once if a leaving instance has no configuration

Cause: the forwarder waits up to 0.5 s for the first configuration before it asks whether the instance is leaving, and outside of what the shutdown cancels. The servers close 0.45 s after the cancellation, so that the wait of the last requests outlasted them.

Why it works: a leaving instance does not wait at all, and a wait that has begun before is one of the attempts that the shutdown cancels, so no wait outlasts it.

The log names the requests that a stop cuts, which no line told before.

--- a/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_forwarder.py
@@ -126,12 +126,17 @@
         )
 
     async def _wait_until_ready(self, request: ForwardRequest) -> None:
-        """Wait briefly for the configuration and targets of a new instance."""
-        if not self._state.ready.is_set():
-            with anyio.move_on_after(
-                min(_STARTUP_WAIT_S, request.timeout_s * _STARTUP_WAIT_SHARE),
-            ):
-                await self._state.ready.wait()
+        """Wait briefly for the configuration and targets of a new instance.
+
+        A leaving one does not wait: the caller is served elsewhere at once.
+        """
+        if self._state.ready.is_set() or self._lifecycle.is_leaving:
+            return
+        longest_s = min(
+            _STARTUP_WAIT_S, request.timeout_s * _STARTUP_WAIT_SHARE
+        )
+        with self._lifecycle.track_attempt(), anyio.move_on_after(longest_s):
+            await self._state.ready.wait()
 
     def _refuse_early(
         self,
@@ -140,9 +145,7 @@
     ) -> ForwardResponse | None:
         """Return the response to a request that is not sent, or None."""
         if self._state.configuration is None:
-            return _refuse(
-                'no configuration is known yet', _STARTUP_RETRY_AFTER_S
-            )
+            return _refuse_unconfigured(self._lifecycle)
         if route is None and request.is_detour:
             # The peer has another configuration, with a route.
             return _refuse('no route matches here', _RETRY_AFTER_S)
@@ -154,10 +157,7 @@
         ):
             return _refuse('targets died while they ran this request', 0)
         if not self._lifecycle.admits(_deadline_s(request, route)):
-            return _refuse(
-                'the instance is shutting down',
-                self._lifecycle.return_delay_s(),
-            )
+            return _refuse_leaving(self._lifecycle)
         return None
 
     def _create_context(
@@ -438,6 +438,16 @@
     )
 
 
+def _refuse_unconfigured(lifecycle: Lifecycle) -> ForwardResponse:
+    if lifecycle.is_leaving:
+        return _refuse_leaving(lifecycle)
+    return _refuse('no configuration is known yet', _STARTUP_RETRY_AFTER_S)
+
+
+def _refuse_leaving(lifecycle: Lifecycle) -> ForwardResponse:
+    return _refuse('the instance is shutting down', lifecycle.return_delay_s())
+
+
 def _fingerprint(request: ForwardRequest) -> str:
     """Return a digest that is equal for repetitions of a request."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
--- a/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_lifecycle.py
@@ -1,5 +1,6 @@
 """State of this instance, and the requests that it has in progress."""
 
+import itertools
 from collections.abc import Callable, Generator
 from contextlib import contextmanager
 from typing import Final
@@ -26,7 +27,6 @@
     def __init__(self, clock: Clock) -> None:
         """Start in the live state without requests."""
         self.state = State.LIVE
-        self.in_progress = 0
         self.running_servers = 0
         self.requests_per_s: float = 0
         self.return_delay_s: Callable[[], float] = lambda: _RETURN_DELAY_S
@@ -35,9 +35,15 @@
         self._window_start_s = clock.now_s()
         self._stop_callbacks: list[Callable[[], None]] = []
         self._schedule: ShutdownSchedule | None = None
+        self._requests: dict[object, str] = {}
         self._attempts: set[anyio.CancelScope] = set()
         self._attempts_cancelled = False
 
+    @property
+    def in_progress(self) -> int:
+        """Number of requests in progress."""
+        return len(self._requests)
+
     @property
     def is_leaving(self) -> bool:
         """Whether a graceful shutdown has begun."""
@@ -66,6 +72,13 @@
         for scope in self._attempts:
             scope.cancel()
 
+    def list_requests(self, limit: int) -> tuple[str, ...]:
+        """Return identifiers of requests in progress, oldest first.
+
+        :param limit: maximum number of identifiers to return.
+        """
+        return tuple(itertools.islice(self._requests.values(), limit))
+
     def on_stop(self, callback: Callable[[], None]) -> None:
         """Register a function that stops a server from accepting."""
         self._stop_callbacks.append(callback)
@@ -85,14 +98,18 @@
             self._window_start_s = now_s
 
     @contextmanager
-    def track_request(self) -> Generator[None]:
-        """Track a request as in progress."""
+    def track_request(self, request_id: str = '') -> Generator[None]:
+        """Track a request as in progress.
+
+        :param request_id: its identifier, for logs.
+        """
         self._window_requests += 1
-        self.in_progress += 1
+        token = object()  # callers may use an identifier twice
+        self._requests[token] = request_id
         try:
             yield
         finally:
-            self.in_progress -= 1
+            self._requests.pop(token)
 
     @contextmanager
     def track_attempt(self) -> Generator[anyio.CancelScope]:
--- a/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
+++ b/packages/entry/src/tamarackway_entry/lifecycle/_shutdown.py
@@ -14,6 +14,7 @@
 
 _CHECK_INTERVAL_S: Final = 0.1
 _ADVICE_MARGIN_S: Final = 0.5
+_MAX_LOGGED: Final = 20  # requests named in a line
 _log = component_logger('lifecycle')
 
 
@@ -88,6 +89,7 @@
             self._lifecycle.cancel_attempts()
             await self._wait(self._close_servers, schedule.connections_closed_s)
             self._log_step('Drain finished', schedule)
+            self._log_cut_requests()
             group.cancel_scope.cancel()
 
     async def _wait(self, is_done: Callable[[], bool], until_s: float) -> bool:
@@ -117,6 +119,15 @@
             schedule.grace_s,
         )
 
+    def _log_cut_requests(self) -> None:
+        """Name the requests that end without a response."""
+        count = self._lifecycle.in_progress
+        if count:
+            shown = ', '.join(self._lifecycle.list_requests(_MAX_LOGGED))
+            _log.warning(
+                '%d requests are cut when the process ends: %s.', count, shown
+            )
+
 
 async def _ignore_signals(signals: AsyncIterator[signal.Signals]) -> None:
     async for number in signals:
--- a/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_forwarder.py
@@ -436,6 +436,47 @@
         assert response.retry_after_s > 0
 
 
+# Guards against requests that still wait for the first configuration when the
+# process ends, so that their connections close without a response.
+@pytest.mark.parametrize('is_leaving', [False, True])
+def test_request_does_not_wait_for_configuration_during_shutdown(
+    *, is_leaving: bool
+) -> None:
+    clock = ManualClock()
+    lifecycle = Lifecycle(clock)
+    forwarder = Forwarder(
+        make_state(configured=False),
+        FakeSender([]),  # type: ignore[arg-type]
+        lifecycle,
+        clock,
+        lambda _request, _response, _context: None,
+    )
+    responses: list[ForwardResponse] = []
+
+    async def serve() -> None:
+        async with anyio.create_task_group() as group:
+            if is_leaving:
+                lifecycle.leave(ShutdownSchedule(clock.now_s(), 6, 4))
+
+            async def request() -> None:
+                responses.append(
+                    await forwarder.serve(make_request(), Caller())
+                )
+
+            group.start_soon(request)
+            await anyio.sleep(0.05)
+            if not is_leaving:
+                lifecycle.cancel_attempts()
+            with anyio.move_on_after(0.1):
+                while not responses:
+                    await anyio.sleep(0.01)
+            assert responses
+
+    anyio.run(serve)
+    assert (responses[0].status, responses[0].origin) == (503, Origin.REFUSAL)
+    assert responses[0].retry_after_s > 0
+
+
 # Guards against requests that are refused everywhere as deadly because targets
 # sent endless or invalid responses to them.
 @pytest.mark.parametrize(('is_invalid', 'checks'), [(False, 1), (True, 0)])
