Decide losses by what happens to the target, not by a cut of the path

Cause: an instance that reaches no target of a service takes that for a cut of its own path, and LossChecker.discard forgot all undecided losses then.

Why it works: undecided losses are kept. Once another target is reached, one more connection to the lost target is tried; if it fails, the target has crashed. A target that accepts again was restarted if a later incarnation has registered in its place, and lives if it answers.

Two tests of test_sender are changed, as strict as before: their two targets shared an address and went down and up together, so that the lost target accepted connections whenever the other one responded. They now have an address each, and the lost one stays down.

--- a/packages/entry/src/tamarackway_entry/forwarding/_losses.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_losses.py
@@ -1,12 +1,13 @@
 """Finds out whether a target crashed while it ran a request."""
 
+import enum
 from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
 import anyio
 from tamarackway_core.quarantine import Loss
-from tamarackway_core.steering import Candidate
+from tamarackway_core.steering import Candidate, TargetRecord
 
 from tamarackway_entry.forwarding._paths import ConnectToTarget, TargetPaths
 from tamarackway_entry.forwarding._state import SteeringState
@@ -14,25 +15,50 @@
 from tamarackway_entry.telemetry import component_logger
 from tamarackway_entry.upstream import NotSentError
 
-_MAX_PENDING: Final = 64  # further ones replace the oldest
+_MAX_CHECKS: Final = 64  # further ones replace the oldest
+_MAX_AGE_S: Final = (
+    600.0  # a target that is down for longer may have been moved
+)
+_INTERVAL_S: Final = 1.0
 _log = component_logger('targets')
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingCheck:
+class _Finding(enum.Enum):
+    """What is known of a target whose connection was lost."""
+
+    UNCHECKED = enum.auto()
+    DOWN = enum.auto()  # accepted no connection since
+    ACCEPTING = enum.auto()  # accepts connections again, maybe restarted
+
+
+@dataclass(slots=True)
+class _Check:
+    """Search for the cause of a lost connection.
+
+    :param candidate: the target.
+    :param loss: loss to report if the target has crashed.
+    :param lost_s: monotonic time at which the connection was lost.
+    :param finding: what is known of the target.
+    :param is_path_sound: whether this instance has reached another target
+        since the last connection to this one failed.
+    """
+
     candidate: Candidate
     loss: Loss
     lost_s: float
+    finding: _Finding = _Finding.UNCHECKED
+    is_path_sound: bool = False
 
 
 class LossChecker:
     """Reports targets that crashed while they ran a request.
 
-    Such a target accepts no new connection. That alone may also be a failure
-    of the path from this instance to all targets, so a loss is reported only
-    once another target has responded to a later request.
+    Such a target accepts no new connection. That may also be a failure of the
+    path from this instance to some or all targets, so the loss stays undecided
+    until another target is reached. If the target still accepts no connection
+    then, or a later incarnation has taken its place, it has crashed.
 
-    :param state: targets and reachability of this instance.
+    :param state: targets of this instance, and its quarantine.
     :param paths: paths to the targets.
     :param clock: clock of the daemon.
     :param connect: opens a connection to a target.
@@ -50,9 +76,9 @@
         self._paths = paths
         self._clock = clock
         self._connect = connect
-        self._pending: deque[_PendingCheck] = deque(maxlen=_MAX_PENDING)
-        self._requested = anyio.Event()
-        self._unconfirmed: deque[_PendingCheck] = deque(maxlen=_MAX_PENDING)
+        self._checks: deque[_Check] = deque(maxlen=_MAX_CHECKS)
+        self._wake = anyio.Event()
+        paths.on_reached = self._record_reached
 
     def schedule(self, candidate: Candidate, loss: Loss) -> None:
         """Schedule a check of a target whose connection was lost.
@@ -60,52 +86,132 @@
         :param candidate: the target.
         :param loss: loss to report if the target has crashed.
         """
-        check = _PendingCheck(candidate, loss, self._clock.now_s())
-        self._pending.append(check)
-        self._requested.set()
-
-    async def run(self) -> None:
-        """Run scheduled checks until cancelled."""
-        while True:
-            await self._requested.wait()
-            self._requested = anyio.Event()
-            async with anyio.create_task_group() as group:
-                while self._pending:
-                    group.start_soon(self._check, self._pending.popleft())
+        self._checks.append(_Check(candidate, loss, self._clock.now_s()))
+        self._wake.set()
 
-    def record_response(self, target: str, sent_s: float) -> None:
-        """Report the losses that the response of another target confirms.
+    def record_answer(self, record: TargetRecord, sent_s: float) -> None:
+        """Record that a target answered a request, so that it has not crashed.
 
-        :param target: name of the target that responded.
+        :param record: the target.
         :param sent_s: monotonic time at which it was sent the request.
         """
-        for check in tuple(self._unconfirmed):
-            if check.lost_s < sent_s and check.loss.target != target:
-                self._unconfirmed.remove(check)
-                _log.warning(
-                    'Target %s probably crashed while running a request.',
-                    check.loss.target,
-                )
-                self._state.quarantine.report(check.loss, self._clock.now_s())
-
-    def discard(self) -> None:
-        """Forget all losses, since the path to the targets has failed."""
-        self._pending.clear()
-        self._unconfirmed.clear()
-
-    async def _check(self, check: _PendingCheck) -> None:
+        for check in tuple(self._checks):
+            known = check.candidate.record
+            is_same = (known.name, known.incarnation) == (
+                record.name,
+                record.incarnation,
+            )
+            if is_same and sent_s > check.lost_s:
+                self._checks.remove(check)
+
+    async def run(self) -> None:
+        """Run scheduled checks until cancelled."""
+        while True:
+            if self._checks:
+                with anyio.move_on_after(_INTERVAL_S):
+                    await self._wake.wait()
+            else:
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._run_checks()
+
+    async def _run_checks(self) -> None:
+        self._decide_by_records()
+        due = [check for check in self._checks if _is_due(check)]
+        async with anyio.create_task_group() as group:
+            for check in due:
+                group.start_soon(self._check, check)
+
+    def _decide_by_records(self) -> None:
+        """Decide the checks of targets that were replaced or removed."""
+        oldest_s = self._clock.now_s() - _MAX_AGE_S
+        for check in tuple(self._checks):
+            record = check.candidate.record
+            if self._is_replaced(record):
+                self._report(check, 'a later incarnation has registered')
+            elif check.lost_s < oldest_s:
+                self._dismiss(check, 'no other target was reached in time')
+            elif (
+                check.finding == _Finding.ACCEPTING
+                and self._state.catalogue.find(record.name) is None
+            ):
+                self._dismiss(check, 'it accepts connections, and has left')
+
+    async def _check(self, check: _Check) -> None:
+        is_first = check.finding == _Finding.UNCHECKED
+        # Only what was reached before this connection tells how it failed.
+        was_path_sound = check.is_path_sound
+        check.is_path_sound = False
         record = check.candidate.record
         try:
             connection = await self._connect(record)
         except NotSentError as error:
-            _log.info(
-                'Target %s lost a connection and accepts no other: %s.',
-                record.name,
-                error,
-            )
-            check.candidate.stats.record_failure(self._clock.now_s())
-            self._paths.record_failure(record)
-            if not self._state.reachability.is_cut_off(record.service):
-                self._unconfirmed.append(check)
+            check.finding = _Finding.DOWN
+            if is_first:
+                self._record_failure(check, error)
+            if was_path_sound:
+                self._report(check, str(error))
             return
         connection.close()
+        check.finding = _Finding.ACCEPTING
+        if is_first:
+            self._dismiss(check, 'it accepts connections')
+
+    def _record_failure(self, check: _Check, error: NotSentError) -> None:
+        record = check.candidate.record
+        _log.info(
+            'Target %s lost a connection and accepts no other: %s.',
+            record.name,
+            error,
+        )
+        check.candidate.stats.record_failure(self._clock.now_s())
+        self._paths.record_failure(record)
+
+    def _record_reached(self, record: TargetRecord, sent_s: float) -> None:
+        for check in self._checks:
+            if sent_s > check.lost_s and record.name != check.loss.target:
+                check.is_path_sound = True
+                if _is_due(check):
+                    self._wake.set()
+
+    def _is_replaced(self, record: TargetRecord) -> bool:
+        """Return whether a later process has taken the place of a target."""
+        catalogue = self._state.catalogue
+        return any(
+            other.incarnation > record.incarnation
+            and (other.name == record.name or other.address == record.address)
+            for other in map(catalogue.find, catalogue.names)
+            if other is not None
+        )
+
+    def _report(self, check: _Check, evidence: str) -> None:
+        self._remove(check)
+        _log.warning(
+            'Target %s crashed while running request %s: %s.',
+            check.loss.target,
+            check.loss.fingerprint,
+            evidence,
+        )
+        now_s = self._clock.now_s()
+        self._state.quarantine.report(check.loss, now_s)
+
+    def _dismiss(self, check: _Check, reason: str) -> None:
+        self._remove(check)
+        _log.info(
+            'Target %s is not known to have crashed on request %s: %s.',
+            check.loss.target,
+            check.loss.fingerprint,
+            reason,
+        )
+
+    def _remove(self, check: _Check) -> None:
+        # A full queue may have dropped it meanwhile.
+        if check in self._checks:
+            self._checks.remove(check)
+
+
+def _is_due(check: _Check) -> bool:
+    """Return whether a connection to the target would tell anything new."""
+    if check.finding == _Finding.UNCHECKED:
+        return True
+    return check.finding == _Finding.DOWN and check.is_path_sound
--- a/packages/entry/src/tamarackway_entry/forwarding/_paths.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_paths.py
@@ -23,7 +23,9 @@
 
     While a cut is suspected, connections to targets of the service are opened
     in turn. It is confirmed if none opens, and ends once one does. The callback
-    ``on_cut`` is called with the targets of a service once it is confirmed.
+    ``on_cut`` is called with the targets of a service once it is confirmed,
+    ``on_reached`` with each target that responded or accepted a connection, and
+    the monotonic time in seconds at which that was asked for.
 
     :param state: targets and reachability of this instance.
     :param clock: clock of the daemon.
@@ -37,6 +39,9 @@
         self.on_cut: Callable[[Sequence[TargetRecord]], None] = (
             lambda _targets: None
         )
+        self.on_reached: Callable[[TargetRecord, float], None] = (
+            lambda _target, _sent_s: None
+        )
         self._state = state
         self._clock = clock
         self._connect = connect
@@ -59,6 +64,7 @@
         :param record: the target.
         :param sent_s: monotonic time at which the request was sent.
         """
+        self.on_reached(record, sent_s)
         service = record.service
         failed_since_s = self._state.reachability.failed_since_s(service)
         if self._state.reachability.record_response(service, sent_s):
--- a/packages/entry/src/tamarackway_entry/forwarding/_sender.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_sender.py
@@ -285,7 +285,6 @@
         """Close idle connections to targets that cannot be reached."""
         for record in targets:
             self._close_pool(record.name)
-        self._losses.discard()
 
     def _find_obstacle(self, record: TargetRecord, caller: Caller) -> str:
         """Return why a request is not sent any more, or an empty text."""
@@ -371,13 +370,7 @@
         now_s = self._clock.now_s()
         stats = candidate.stats
         if attempt.response is not None:
-            self._paths.record_response(candidate.record, started_s)
-            self._losses.record_response(candidate.record.name, started_s)
-        if (
-            attempt.response is not None
-            and stats.failures >= _DOWN_AFTER_FAILURES
-        ):
-            self._mark_cold(candidate, now_s)
+            self._record_response(candidate, attempt, started_s)
         if attempt.outcome == AttemptOutcome.WITHDRAWN:
             return
         if attempt.outcome == AttemptOutcome.REFUSED:
@@ -400,6 +393,26 @@
         ):
             self._paths.record_failure(candidate.record)
 
+    def _record_response(
+        self, candidate: Candidate, attempt: AttemptResult, started_s: float
+    ) -> None:
+        self._paths.record_response(candidate.record, started_s)
+        if attempt.outcome == AttemptOutcome.ANSWERED:
+            self._losses.record_answer(candidate.record, started_s)
+        if candidate.stats.failures < _DOWN_AFTER_FAILURES:
+            return
+        # The target may have restarted unnoticed, so it is treated as cold
+        # until it registers with its own state.
+        record = candidate.record
+        cold_s = self._state.policy(record.service).cold_s
+        _log.info(
+            'Target %s is reachable again, treated as cold for %.1f s.',
+            record.name,
+            cold_s,
+        )
+        now_s = self._clock.now_s()
+        self._state.catalogue.mark_cold(record.name, now_s, cold_s)
+
     def _record_failure(
         self, candidate: Candidate, attempt: AttemptResult, now_s: float
     ) -> None:
@@ -417,20 +430,6 @@
                 attempt.error,
             )
 
-    def _mark_cold(self, candidate: Candidate, now_s: float) -> None:
-        """Treat a target as cold, since it may have restarted unnoticed.
-
-        This holds until the target registers with its own state.
-        """
-        record = candidate.record
-        cold_s = self._state.policy(record.service).cold_s
-        _log.info(
-            'Target %s is reachable again, treated as cold for %.1f s.',
-            record.name,
-            cold_s,
-        )
-        self._state.catalogue.mark_cold(record.name, now_s, cold_s)
-
     def _record_run_time(
         self, candidate: Candidate, run_s: float, now_s: float
     ) -> None:
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -44,8 +44,11 @@
     address=Address('127.0.0.1', 80),
     slots=3,
 )
-OTHER = dataclasses.replace(RECORD, name='other')
+OTHER = dataclasses.replace(
+    RECORD, name='other', address=Address('127.0.0.1', 81)
+)
 COMPLETE = Response(200, (), b'ok')
+LOSS = Loss('digest', 't', 1)
 
 
 class FakeConnection:
@@ -111,6 +114,7 @@
         self.caller = Caller()
         self.outcome: Response | Exception = COMPLETE
         self.is_reachable = True
+        self.down: set[Address] = set()
         self.on_connect: Callable[[], None] = lambda: None
         self.metadata = ResponseMetadata(
             not_run=False, wrong_target=False, signed=True
@@ -123,7 +127,7 @@
         )
 
     async def connect(self, address: Address) -> FakeConnection:
-        if not self.is_reachable:
+        if not self.is_reachable or address in self.down:
             raise NotSentError('refused')
         self.on_connect()
         self.connection = FakeConnection(self.outcome)
@@ -140,6 +144,15 @@
             at_most_once=True,
         )
 
+    async def run_checks(self, time_s: float = 0.1) -> None:
+        """Let the sender check lost targets and paths for a while."""
+        with anyio.move_on_after(time_s):
+            await self.sender.run()
+
+    def has_reported_loss(self) -> bool:
+        now_s = self.clock.now_s()
+        return bool(self.state.quarantine.list_recent(now_s))
+
     def build_candidate(self, record: TargetRecord | None = None) -> Candidate:
         record = record or self.record
         stats = self.state.target_stats.find(
@@ -209,22 +222,19 @@
         stats = environment.build_candidate().stats
         stats.record_failure(environment.clock.now_s())
     environment.outcome = ConnectionLostError('reset')
-    loss = Loss('digest', 't', 1)
 
-    async def run(is_reachable: bool) -> bool:
-        environment.is_reachable = is_reachable
-        environment.sender.schedule_check(environment.build_candidate(), loss)
-        with anyio.move_on_after(0.1):
-            await environment.sender.run()
+    async def run(is_down: bool) -> bool:
+        environment.down = {RECORD.address} if is_down else set()
+        environment.sender.schedule_check(environment.build_candidate(), LOSS)
+        await environment.run_checks()
         environment.clock.moment_s += 0.01
-        environment.is_reachable = True
         await environment.send_to_other()
-        now_s = environment.clock.now_s()
-        return bool(environment.state.quarantine.list_recent(now_s))
+        await environment.run_checks()
+        return environment.has_reported_loss()
 
     assert environment.send().outcome == AttemptOutcome.LOST
-    assert not anyio.run(run, True)
-    assert anyio.run(run, False)
+    assert not anyio.run(run, False)
+    assert anyio.run(run, True)
     assert environment.build_candidate().stats.is_ejected(
         environment.clock.now_s()
     )
@@ -236,24 +246,85 @@
 def test_loss_is_reported_only_if_another_target_responds(
     environment: Environment, *, confirmed: bool
 ) -> None:
-    loss = Loss('digest', 't', 1)
-
     async def run() -> None:
-        environment.sender.schedule_check(environment.build_candidate(), loss)
+        environment.sender.schedule_check(environment.build_candidate(), LOSS)
         environment.is_reachable = False
-        with anyio.move_on_after(0.1):
-            await environment.sender.run()
+        await environment.run_checks()
         environment.clock.moment_s += 1
         environment.is_reachable = confirmed
+        environment.down = {RECORD.address}
         await environment.send_to_other()
+        await environment.run_checks()
 
     anyio.run(run)
-    now_s = environment.clock.now_s()
-    assert bool(environment.state.quarantine.list_recent(now_s)) is confirmed
+    assert environment.has_reported_loss() is confirmed
     suspected = environment.state.reachability.list_suspected()
     assert bool(suspected) is not confirmed
 
 
+# Guards against requests that crash every target of a service each time they
+# come, since the losses of all of them were taken for a cut and forgotten, and
+# against cuts that are taken for crashes once they end.
+@pytest.mark.parametrize(
+    ('after', 'reported'),
+    [
+        ('others are back', True),
+        ('replaced under a new name', True),
+        ('restarted under its name', True),
+        ('the path is back', False),
+        ('the path is back, and it answers', False),
+        ('accepts and has left', False),
+    ],
+)
+def test_loss_of_all_targets_is_decided_once_the_service_is_back(
+    environment: Environment, after: str, *, reported: bool
+) -> None:
+    catalogue = environment.state.catalogue
+
+    async def run() -> None:
+        environment.is_reachable = False
+        environment.sender.schedule_check(environment.build_candidate(), LOSS)
+        for record in (RECORD, OTHER):
+            await environment.sender.send(
+                make_request(),
+                environment.caller,
+                environment.build_candidate(record),
+                1,
+                at_most_once=True,
+            )
+        await environment.run_checks(0.3)
+        assert environment.state.reachability.list_cut_off() == ('s',)
+        assert not environment.has_reported_loss()
+        environment.clock.moment_s += 2
+        environment.is_reachable = True
+        now_s = environment.clock.now_s()
+        if after == 'others are back':
+            environment.down = {RECORD.address}
+        elif after == 'replaced under a new name':
+            started = dataclasses.replace(RECORD, name='new', incarnation=2)
+            catalogue.put(started, now_s)
+        elif after == 'restarted under its name':
+            catalogue.put(dataclasses.replace(RECORD, incarnation=2), now_s)
+        elif after == 'accepts and has left':
+            catalogue.remove('t')
+        await environment.send_to_other()
+        if after == 'the path is back, and it answers':
+            await environment.sender.send(
+                make_request(),
+                environment.caller,
+                environment.build_candidate(),
+                1,
+                at_most_once=True,
+            )
+            environment.clock.moment_s += 0.01
+            environment.down = {RECORD.address}
+            await environment.send_to_other()
+        await environment.run_checks(1.2)
+
+    anyio.run(run)
+    assert environment.has_reported_loss() is reported
+
+
 # Guards against targets that get few requests, as if they were cold, or none
 # after the path to all of them was cut for a while.
 @pytest.mark.parametrize('failed_before', [False, True])
