Take no response for one whose status is out of range

Callers of the own interface: a target in trouble that sent a response with the status 600 or 999 had it taken for its answer; the HTTP server has no line for such a status and closes the caller's connection. Operators: tamarackctl showed such a response as a refusal of the instance.

Cause: the parser takes any status from 100 on. The reader of the platform has a range; the pool of the own interface and tamarackctl had none.

Evidence: test_response_without_a_valid_status_is_an_error failed for 600 and 999 on new and kept connections, test_response_without_a_valid_status_is_reported for both, on. 000 and 099 were errors before on each connection that reads answers; rows for them are added, also through a daemon on the platform.

Why it works: all readers of responses now check that the status is one of HTTP, and of a final response, before anything is made of it.

--- a/packages/ctl/src/tamarackway_ctl/client/_client.py
+++ b/packages/ctl/src/tamarackway_ctl/client/_client.py
@@ -12,6 +12,9 @@
 _TIMEOUT_S: Final = 30.0
 _MAX_RESPONSE_BYTES: Final = 67_108_864
 _MIN_ERROR_STATUS: Final = 400
+# Of a final response. The parser takes any three digits for a status.
+_FIRST_STATUS: Final = 200
+_LAST_STATUS: Final = 599
 _CONNECTION_ERRORS: Final = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -118,8 +121,11 @@
     """Return the JSON document in a response.
 
     :param response: the response, whose body is not read yet.
-    :raises ValueError: if it is too large, too slow or not a JSON object.
+    :raises ValueError: if it is too large, too slow or not a JSON object, or
+        has no valid status.
     """
+    if not _FIRST_STATUS <= response.status <= _LAST_STATUS:
+        raise ValueError(f'{response.status} is no status of a response')
     end_s = time.monotonic() + _TIMEOUT_S
     body = bytearray()
     for part in response.iter_stream():
--- a/packages/ctl/src/tamarackway_ctl/tests/test_client.py
+++ b/packages/ctl/src/tamarackway_ctl/tests/test_client.py
@@ -61,6 +61,17 @@
     assert raised.value.exit_code == ExitCode.UNREACHABLE
 
 
+# Guards against a response without a valid status, which would be shown as if
+# the instance had done what was asked, or had refused it.
+@pytest.mark.parametrize('status', ['000', '099', '101', '600', '999'])
+def test_response_without_a_valid_status_is_reported(status: str) -> None:
+    head = HEAD.replace(b'200', status.encode())
+    parts = [head + b'Content-Length: 2\r\n\r\n{}']
+    with serve_once(parts) as entry, pytest.raises(ApiError) as raised:
+        AdminClient(entry, 'token').get_status()
+    assert raised.value.exit_code == ExitCode.UNREACHABLE
+
+
 def test_sound_response_is_returned() -> None:
     with serve_once([HEAD + b'Content-Length: 2\r\n\r\n{}']) as entry:
         assert not AdminClient(entry, 'token').get_status()
--- a/packages/entry/src/tamarackway_entry/http/_pool.py
+++ b/packages/entry/src/tamarackway_entry/http/_pool.py
@@ -30,6 +30,9 @@
     httpcore.TimeoutException,
 )
 _BODILESS: Final = frozenset((204, 304))
+# Of a final response. The parser takes any three digits for a status.
+_FIRST_STATUS: Final = 200
+_LAST_STATUS: Final = 599
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,6 +192,10 @@
         request: HttpRequest,
         response: httpcore.Response,
     ) -> HttpResponse:
+        if not _FIRST_STATUS <= response.status <= _LAST_STATUS:
+            raise InvalidResponseError(
+                f'{self._host}: {response.status} is no status of a response'
+            )
         headers = {
             name.decode('latin-1').lower(): text.decode('latin-1')
             for name, text in response.headers
--- a/packages/entry/src/tamarackway_entry/tests/test_pool.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_pool.py
@@ -117,6 +117,19 @@
         await _send(handler, fresh=fresh)
 
 
+# Guards against callers and services that get an answer which is none, since
+# the parser accepts any status from 100 on.
+@pytest.mark.parametrize('fresh', [True, False])
+@pytest.mark.parametrize('status', [b'000', b'099', b'101', b'600', b'999'])
+async def test_response_without_a_valid_status_is_an_error(
+    status: bytes, fresh: bool
+) -> None:
+    head = HEAD.replace(b'200', status)
+    response = head + b'content-length: 2\r\n\r\nok'
+    with pytest.raises((ConnectionLostError, InvalidResponseError)):
+        await _send(functools.partial(_respond, response), fresh=fresh)
+
+
 async def test_refused_connection_raises_not_sent() -> None:
     listener = await anyio.create_tcp_listener(local_host=HOST)
     port = _find_port(listener)
--- a/packages/entry/src/tamarackway_entry/tests/test_response_framing.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_response_framing.py
@@ -175,6 +175,8 @@
         HEAD + CHUNKED + b'\r\n1\r\nok\r\n0\r\n\r\n',
         HEAD + b'X: a\r\n\nok',
         HEAD.replace(b'\r', b'') + b'Content-Length: 2\n\nok',
+        b'HTTP/1.1 000 OK\r\nid: own\r\n' + LENGTH,
+        b'HTTP/1.1 099 OK\r\nid: own\r\n' + LENGTH,
         b'HTTP/1.1 600 OK\r\nid: own\r\n' + LENGTH,
         b'HTTP/1.1 2000 OK\r\nid: own\r\n' + LENGTH,
         b'ok',
