Reach other targets to decide a loss, without waiting for requests

Cause: only the response of another target to a later request on the same instance confirmed a loss.

One that opens shows that the path is sound, as a response did.

--- a/packages/entry/src/tamarackway_entry/forwarding/_losses.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_losses.py
@@ -55,8 +55,9 @@
 
     Such a target accepts no new connection. That may also be a failure of the
     path from this instance to some or all targets, so the loss stays undecided
-    until another target is reached. If the target still accepts no connection
-    then, or a later incarnation has taken its place, it has crashed.
+    until another target is reached, by a request or a connection to it. If the
+    target still accepts no connection then, or a later incarnation has taken
+    its place, it has crashed.
 
     :param state: targets of this instance, and its quarantine.
     :param paths: paths to the targets.
@@ -114,6 +115,7 @@
                 await self._wake.wait()
             self._wake = anyio.Event()
             await self._run_checks()
+            await self._reach_others()
 
     async def _run_checks(self) -> None:
         self._decide_by_records()
@@ -122,6 +124,20 @@
             for check in due:
                 group.start_soon(self._check, check)
 
+    async def _reach_others(self) -> None:
+        """Connect to targets that show whether the path is sound.
+
+        In quiet hours no request would tell so for minutes.
+        """
+        down = [
+            check.candidate.record
+            for check in self._checks
+            if check.finding == _Finding.DOWN and not check.is_path_sound
+        ]
+        if down:
+            names = frozenset(record.name for record in down)
+            await self._paths.probe_others(down[0].service, names)
+
     def _decide_by_records(self) -> None:
         """Decide the checks of targets that were replaced or removed."""
         oldest_s = self._clock.now_s() - _MAX_AGE_S
--- a/packages/entry/src/tamarackway_entry/forwarding/_paths.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_paths.py
@@ -1,7 +1,7 @@
 """Paths of this instance to the targets of each service."""
 
 import itertools
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Container, Coroutine, Sequence
 from typing import Any, Final
 
 import anyio
@@ -88,6 +88,26 @@
             _log.info('Service %s may not be reachable from here.', service)
             self._suspected.set()
 
+    async def probe_others(
+        self, service: str, excluded: Container[str]
+    ) -> None:
+        """Open connections to a few targets, if possible of one service.
+
+        :param service: name of the service.
+        :param excluded: names of targets that are known to be down.
+        """
+        configuration = self._state.configuration
+        known = configuration.services if configuration else ()
+        records = [
+            record
+            for name in dict.fromkeys((service, *known))
+            for record in self._choose(name)
+            if record.name not in excluded
+        ]
+        await self._probe_targets(
+            sorted(records, key=self._has_failed)[:_PROBED_TARGETS]
+        )
+
     def _confirm(self, services: Sequence[str]) -> None:
         """Confirm the cuts of services of which no target was reached."""
         for service in services:
@@ -96,9 +116,11 @@
                 self.on_cut(self._state.catalogue.list_usable(service).targets)
 
     async def _probe_all(self, services: Sequence[str]) -> None:
-        records = [
+        await self._probe_targets([
             record for service in services for record in self._choose(service)
-        ]
+        ])
+
+    async def _probe_targets(self, records: Sequence[TargetRecord]) -> None:
         async with anyio.create_task_group() as group:
             for record in records:
                 group.start_soon(self._probe, record)
@@ -122,9 +144,10 @@
         if not targets:
             return ()
         first = next(self._turn) * _PROBED_TARGETS % len(targets)
-        reachability = self._state.reachability
         ordered = sorted(
-            (*targets[first:], *targets[:first]),
-            key=lambda record: reachability.has_failed(service, record.name),
+            (*targets[first:], *targets[:first]), key=self._has_failed
         )
         return ordered[:_PROBED_TARGETS]
+
+    def _has_failed(self, record: TargetRecord) -> bool:
+        return self._state.reachability.has_failed(record.service, record.name)
--- a/packages/entry/src/tamarackway_entry/tests/test_sender.py
+++ b/packages/entry/src/tamarackway_entry/tests/test_sender.py
@@ -325,6 +325,38 @@
     assert environment.has_reported_loss() is reported
 
 
+# Guards against a request that crashes targets and is not refused until another
+# one is answered, which takes long in quiet hours.
+@pytest.mark.parametrize(
+    ('service', 'is_down', 'reported'),
+    [('s', False, True), ('u', False, True), ('s', True, False)],
+)
+def test_loss_is_decided_without_other_requests(
+    environment: Environment, service: str, *, is_down: bool, reported: bool
+) -> None:
+    catalogue = environment.state.catalogue
+    catalogue.remove('other')
+    other = dataclasses.replace(OTHER, service=service)
+    catalogue.put(other, environment.clock.now_s())
+    policies = {name: ServicePolicy(name) for name in ('s', 'u')}
+    environment.state.configure(Configuration(2, services=policies))
+    environment.down = {RECORD.address}
+    if is_down:
+        environment.down.add(OTHER.address)
+
+    async def run() -> None:
+        environment.sender.schedule_check(environment.build_candidate(), LOSS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(environment.run_checks, 1.5)
+            for _ in range(3):
+                await anyio.sleep(0.3)
+                environment.clock.moment_s += 0.3
+
+    anyio.run(run)
+    assert environment.has_reported_loss() is reported
+    assert environment.state.catalogue.is_usable('t')
+
+
 # Guards against targets that get few requests, as if they were cold, or none
 # after the path to all of them was cut for a while.
 @pytest.mark.parametrize('failed_before', [False, True])
