Look up routes by the path as the caller encoded it

Cause: the path was decoded before its route was looked up, so that %2F became a slash, while the path was forwarded as it had come.

Why it works: paths and prefixes are compared in one encoding, in which only those escapes are decoded that cannot change the meaning of a path. A prefix that is written with escapes, which matched nothing, matches now.

--- a/packages/core/src/tamarackway_core/tests/test_steering.py
+++ b/packages/core/src/tamarackway_core/tests/test_steering.py
@@ -92,6 +92,47 @@
     assert (found.name if found else None) == name
 
 
+# Guards against a request that must not run twice and is sent twice, since an
+# encoded slash made it look like one of another route.
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [
+        ('/orders/status/17', 'safe'),
+        ('/orders/status%2F17', 'unsafe'),
+        ('/orders/status%2f17', 'unsafe'),
+        ('/orders%2Fstatus/17', None),
+        ('/%6frders/%73tatus/17', 'safe'),
+        ('/orders/sta%74us%2F/17', 'unsafe'),
+        ('/relat%C3%B3rio/1', 'report'),
+        ('/relat%c3%b3rio/1', 'report'),
+        ('/relat\udcc3\udcb3rio/1', 'report'),
+        ('/relat\u00f3rio/1', 'report'),
+        ('/relat%F3rio/1', None),
+        ('/n\u00e3o/1', 'raw'),
+        ('/n%C3%A3o/1', 'raw'),
+        ('/a%20b/1', 'space'),
+        ('/orders/%', 'unsafe'),
+        ('/orders/%zz', 'unsafe'),
+    ],
+)
+def test_encoded_paths_belong_to_the_route_of_their_segments(
+    path: str, name: str | None
+) -> None:
+    prefixes = {
+        'unsafe': '/orders/',
+        'safe': '/orders/status/',
+        'report': '/relat%C3%B3rio/',
+        'raw': '/n\u00e3o/',
+        'space': '/a b/',
+    }
+    table = RouteTable(
+        Route(name, 'h', prefix, (), idempotent=name == 'safe')
+        for name, prefix in prefixes.items()
+    )
+    found = table.find('h', path)
+    assert (found.name if found else None) == name
+
+
 def test_services_are_picked_by_weight() -> None:
     shares = (ServiceShare('a', 9), ServiceShare('b', 1))
     draws = [pick_service(shares, index / 1000) for index in range(1000)]
