Guard the retest of a request that is not quarantined

A retest of a request whose losses are all refuted raised ValueError in QuarantineRegistry.take_retest. No caller asks for one: RequestQuarantine looks first. Checks of losses are compared by identity, so that two of the same target cannot be taken for each other.

--- a/packages/core/src/tamarackway_core/quarantine/_registry.py
+++ b/packages/core/src/tamarackway_core/quarantine/_registry.py
@@ -106,8 +106,10 @@
         :param instances: number of instances.
         """
         request = self._records.find(fingerprint)
-        if request is None or now_s - request.retest_s < _RETEST_TIMEOUT_S:
+        if request is None or not request.is_quarantined(now_s):
             return False
+        if now_s - request.retest_s < _RETEST_TIMEOUT_S:
+            return False  # the last one may still be running
         losses_s = request.list_unrefuted_s()
         waited_s = now_s - max(losses_s) - retest_wait_s(losses_s)
         if not has_turn(fingerprint, waited_s, position, instances):
--- a/packages/entry/src/tamarackway_entry/forwarding/_losses.py
+++ b/packages/entry/src/tamarackway_entry/forwarding/_losses.py
@@ -31,7 +31,7 @@
     ACCEPTING = enum.auto()  # accepts connections again, maybe restarted
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Check:
     """Search for the cause of a lost connection.
 
