Check the ages of losses in the tests of the quarantine

A registry that passed on losses without their age, so that instances would tell each other of them for ever, passed all tests. The machine now knows the age of each loss, and new instances join while others tell of it: both fail without the age. The machine also fails if a refuted loss is told as one that is not.

--- a/packages/core/src/tamarackway_core/tests/test_quarantine.py
+++ b/packages/core/src/tamarackway_core/tests/test_quarantine.py
@@ -102,6 +102,7 @@
     instances = [QuarantineRegistry() for _ in range(3)]
     report_losses(instances[0])
     for now_s in range(0, 599, 50):
+        instances.append(QuarantineRegistry())
         for register in instances:
             for peer in instances:
                 register.merge(peer.list_known(now_s), now_s)
--- a/packages/core/src/tamarackway_core/tests/test_quarantine_machine.py
+++ b/packages/core/src/tamarackway_core/tests/test_quarantine_machine.py
@@ -4,6 +4,8 @@
 and are restarted.
 """
 
+import math
+
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -31,6 +33,7 @@
         self.offsets_s = [1000.0 * number for number in range(INSTANCES)]
         self.now_s = 10.0
         self.incarnations = 0
+        self.lost_s: dict[Loss, float] = {}
         self.refuted: list[set[Loss]] = [set() for _ in range(INSTANCES)]
 
     def clock_s(self, who: int) -> float:
@@ -44,6 +47,7 @@
     def lose(self, who: int, fingerprint: str, name: str) -> None:
         self.incarnations += 1
         loss = Loss(fingerprint, name, self.incarnations)
+        self.lost_s[loss] = self.now_s
         self.fleet[who].report(loss, self.clock_s(who))
 
     @rule(who=WHO, fingerprint=FINGERPRINTS)
@@ -73,11 +77,12 @@
         self.offsets_s[who] += 5000
 
     @invariant()
-    def refuted_loss_stays_refuted_and_grows_older(self) -> None:
+    def refuted_loss_stays_refuted_and_its_age_is_known(self) -> None:
         for who, register in enumerate(self.fleet):
             for entry in register.list_known(self.clock_s(who)):
                 assert entry.refuted or entry.loss not in self.refuted[who]
-                assert 0 <= entry.age_s <= self.now_s
+                age_s = self.now_s - self.lost_s[entry.loss]
+                assert math.isclose(entry.age_s, age_s, abs_tol=1e-6)
 
     def teardown(self) -> None:
         """Check that all agree once each has heard of each other."""
