--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -131,12 +131,21 @@
         self.rows: dict[tuple[str, str, str], tuple[int, str | None]] = {}
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, self.host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def move(self) -> None:
+        """Listen on another port, and refuse connections on this one."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        await self.start()
+
     def put(self, table: str, key: str, document: Any, part: str = '') -> None:
         """Write a row."""
         value = base64.b64encode(json.dumps(document).encode()).decode()
@@ -158,6 +167,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         # The cancellation comes when the case has ended.
         with contextlib.suppress(OSError, EOFError, asyncio.CancelledError):
             while True:
@@ -175,6 +185,7 @@
                 body = json.dumps(document).encode()
                 writer.write(encode_answer(Answer(status, headers, body)))
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _handle(self, request: Request) -> tuple[int, dict[str, Any]]:
