--- a/review/14/case.py
+++ b/review/14/case.py
@@ -8,6 +8,7 @@
 import asyncio
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -28,7 +29,7 @@
 MACHINES = 4
 RATE_PER_S = 320
 WORK_S = 0.005
-COLD_WORK_S = 0.06
+COLD_WORK_S = 0.06  # with empty caches
 WARM_UP_S = 4.0
 DOWN_S = 0.3
 HEARTBEAT_S = 1.5
@@ -48,6 +49,7 @@
         self.cold: Server | None = None
         self.arrivals_s: dict[str, list[float]] = {}
         self.cold_arrivals_s: list[float] = []
+        self.busy: Counter[str] = Counter()
         self.running: set[str] = set()
         self.lost: set[str] = set()
         self.answers: dict[str, int] = {}
@@ -59,7 +61,9 @@
         self.arrivals_s.setdefault(server.name, []).append(now_s)
         self.rig.record.add(f'{server.name} begins {request_id}')
         if server is not self.cold:
+            self.busy[server.name] += 1
             await asyncio.sleep(WORK_S)
+            self.busy[server.name] -= 1
             return server.complete(request)
         self.cold_arrivals_s.append(now_s)
         self.running.add(request_id)
@@ -77,6 +81,8 @@
             self.rig.servers,
             key=lambda server: self.arrivals_s[server.name][-RECENT],
         )
+        while self.busy[crashed.name]:
+            await asyncio.sleep(0)  # until it is idle for a moment
         crashed.crash()
         await asyncio.sleep(DOWN_S)
         self.cold = crashed
